--- /dev/null
+++ b/src/plantainsail/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: routed requests from callers to upstreams."""
--- /dev/null
+++ b/src/plantainsail/entry/feed.py
@@ -0,0 +1,156 @@
+"""Keeps what is published in force: one watch, and proofs of freshness.
+
+The watch brings changes at once.  A waiting watch proves nothing, so
+the newest configuration is also read about once a second, by one
+daemon for all: the others learn from its heartbeats how fresh it is.
+"""
+
+import asyncio
+
+from plantainsail.entry.node import EntryNode
+from plantainsail.entry.source import (
+    Changes,
+    HistoryLostError,
+    PublishedSource,
+    SourceError,
+)
+from plantainsail.routing.in_force import is_read_due
+from plantainsail.routing.model import RoutingConfiguration
+
+WATCH_WAIT_S = 8.0
+BACK_OFF_FIRST_S = 0.15
+BACK_OFF_LIMIT_S = 0.8
+CHECK_INTERVAL_S = 0.1
+# Storms of changes are taken together.
+CHANGE_SPACING_S = 0.03
+READ_TIMEOUT_S = 1.2
+
+
+class PublishedFeed:
+    """Follows a source and puts in force what it publishes."""
+
+    def __init__(self, node: EntryNode, source: PublishedSource) -> None:
+        self.node = node
+        self.source = source
+        self.is_lost = False
+        self.back_off_s = BACK_OFF_FIRST_S
+
+    async def watch(self) -> None:
+        """Follow changes for ever."""
+        while True:
+            try:
+                revision = await self._read_all()
+                await self._follow(revision)
+            except HistoryLostError:
+                self.node.log.info("history lost, reading all again")
+                await asyncio.sleep(self._pause_s())
+            except SourceError as error:
+                self._note_lost(str(error))
+                await asyncio.sleep(self._pause_s())
+
+    async def verify(self) -> None:
+        """Prove again and again how fresh the configuration is."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            now_s = self.node.now_s()
+            self.node.note_departures(self.node.registry.sweep(now_s))
+            age_s = self.node.in_force.age_s(now_s)
+            if not is_read_due(age_s, self.node.members.rank(now_s)):
+                continue
+            try:
+                await self._read_configuration()
+            except SourceError as error:
+                self._note_lost(str(error))
+                await asyncio.sleep(self._pause_s())
+
+    def put_in_force(
+        self,
+        configuration: RoutingConfiguration,
+        as_of_s: float | None,
+        origin: str,
+    ) -> None:
+        """Take a configuration, and say so if it is a new one."""
+        if not self.node.in_force.offer(configuration, as_of_s):
+            return
+        self.node.metrics.configuration_version.set(configuration.version)
+        self.node.log.info(
+            "configuration in force",
+            version=configuration.version,
+            origin=origin,
+            routes=len(configuration.routes),
+            organisations=len(configuration.organisations or ()),
+        )
+
+    async def _read_all(self) -> int:
+        published = await self.source.list_upstreams()
+        await self._read_configuration()
+        now_s = self.node.now_s()
+        self._note_regained(now_s)
+        departures = self.node.registry.replace(
+            published.upstreams, published.revision, now_s
+        )
+        self.node.note_departures(departures)
+        return published.revision
+
+    async def _read_configuration(self) -> None:
+        as_of_s = self.node.now_s()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                configuration = await self.source.read_configuration()
+        except TimeoutError as error:
+            raise SourceError("no answer in time") from error
+        self._note_regained(self.node.now_s())
+        if configuration is not None:
+            self.put_in_force(configuration, as_of_s, "read")
+
+    async def _follow(self, revision: int) -> None:
+        while True:
+            changes = await self.source.wait_for_changes(
+                revision, WATCH_WAIT_S
+            )
+            self._note_regained(self.node.now_s())
+            self._take(changes)
+            revision = max(revision, changes.revision)
+            await asyncio.sleep(CHANGE_SPACING_S)
+
+    def _take(self, changes: Changes) -> None:
+        for configuration in changes.configurations:
+            self.put_in_force(configuration, None, "watch")
+        now_s = self.node.now_s()
+        registry = self.node.registry
+        for change in changes.upstreams:
+            if change.upstream is None:
+                departures = registry.remove(
+                    change.identifier, change.revision, now_s
+                )
+            else:
+                departures = registry.put(
+                    change.upstream, change.revision, now_s
+                )
+            self.node.note_departures(departures)
+        if changes.upstreams:
+            self.node.load_changed.set()
+
+    def _note_lost(self, reason: str) -> None:
+        self.node.registry.service_lost()
+        if self.is_lost:
+            return
+        self.is_lost = True
+        self.node.log.warning(
+            "configuration service lost",
+            reason=reason,
+            version=self.node.in_force.version,
+        )
+
+    def _note_regained(self, now_s: float) -> None:
+        self.back_off_s = BACK_OFF_FIRST_S
+        self.node.registry.service_regained(now_s)
+        if not self.is_lost:
+            return
+        self.is_lost = False
+        self.node.log.info("configuration service regained")
+
+    def _pause_s(self) -> float:
+        pause_s = self.back_off_s * (0.7 + 0.6 * self.node.random.random())
+        self.back_off_s = min(BACK_OFF_LIMIT_S, self.back_off_s * 1.7)
+        return pause_s
--- /dev/null
+++ b/src/plantainsail/entry/generation.py
@@ -0,0 +1,292 @@
+"""Passes one stream of events from engines to its caller.
+
+A stream has one run.  When its engine leaves, the run goes on at
+another engine from a copy of its memory, and the caller sees one
+stream: every event once and in order, or an end that looks cut.
+"""
+
+import asyncio
+
+from plantainsail.entry.caller import end_to_end
+from plantainsail.entry.mover import (
+    Departing,
+    EngineMover,
+    Evacuation,
+    Leg,
+)
+from plantainsail.entry.node import EntryNode
+from plantainsail.entry.request import (
+    RoutedRequest,
+    is_not_executed,
+    is_sound_head,
+    make_outgoing,
+)
+from plantainsail.routing.event_frames import EventFrames, Frame
+from plantainsail.routing.model import RoutedUpstream
+from plantainsail.routing.picture import UpstreamLoad
+from plantainsail.routing.placement import GenerationNeed
+from plantainsail.routing.positions import EventPositions, Verdict
+from plantainsail.upstreams.single_use import (
+    AnswerHead,
+    ConnectError,
+    CutShortError,
+    Headers,
+    SingleUseConnection,
+)
+
+CONNECT_S = 0.35
+MOVE_PATIENCE_S = 1.5
+
+
+class NotRunError(Exception):
+    """The engine did not run the request; `reason` says why."""
+
+
+class LostError(Exception):
+    """The run is lost, or its answer can't be trusted."""
+
+
+class Generation:
+    """One run and its caller."""
+
+    def __init__(
+        self,
+        node: EntryNode,
+        mover: EngineMover | None,
+        request: RoutedRequest,
+        need: GenerationNeed,
+    ) -> None:
+        self.node = node
+        self.mover = mover
+        self.request = request
+        self.need = need
+        self.upstream: RoutedUpstream | None = None
+        self.load: UpstreamLoad | None = None
+        self.connection: SingleUseConnection | None = None
+        self.positions = EventPositions()
+        self.last_event_s = 0.0
+        self.first_event_s = 0.0
+        self.longest_pause_s = 0.0
+        self.legs = 0
+        self.evacuation: Evacuation | None = None
+        self.evacuation_task: asyncio.Task[None] | None = None
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether an event has come."""
+        return self.positions.count > 0
+
+    def occupy(self, upstream: RoutedUpstream) -> None:
+        """Take room on an engine in the fleet's picture."""
+        self.upstream = upstream
+        self.load = UpstreamLoad(
+            running=1,
+            long_running=int(self.need.is_long),
+            memory_tokens=self.need.memory_tokens,
+            unread_tokens=self.need.prompt_tokens,
+        )
+        self.node.picture.add(upstream.identifier, self.load)
+        self.node.load_changed.set()
+
+    def vacate(self) -> None:
+        """Give the room back."""
+        if self.upstream is None or self.load is None:
+            return
+        self.node.picture.subtract(self.upstream.identifier, self.load)
+        self.load = None
+        self.node.load_changed.set()
+
+    async def close(self) -> None:
+        """End whatever still runs for this generation."""
+        if self.evacuation_task is not None:
+            self.evacuation_task.cancel()
+            await asyncio.wait((self.evacuation_task,))
+        if self.connection is not None:
+            self.connection.abort()
+        self.vacate()
+        if self.evacuation is not None:
+            self.evacuation.release()
+            leg = self.evacuation.leg
+            if leg is not None and leg.connection is not None:
+                leg.connection.abort()
+
+    async def open(self) -> AnswerHead:
+        """Send the request to its engine and return the answer's head.
+
+        Raises `NotRunError` if the engine surely didn't run it, and
+        `LostError` if that can't be known.
+        """
+        assert self.upstream is not None
+        try:
+            self.connection = await SingleUseConnection.open(
+                self.upstream.address, CONNECT_S
+            )
+        except ConnectError as error:
+            raise NotRunError("unreachable") from error
+        head = await self._send(self.connection, self.upstream, [])
+        if is_not_executed(head, self.node.dialect):
+            raise NotRunError("refused")
+        if not is_sound_head(head, self.request, self.node.dialect):
+            raise LostError("not its answer")
+        return head
+
+    async def relay(self, head: AnswerHead) -> None:
+        """Pass the whole stream on; raises `LostError` if it is cut."""
+        caller = self.request.caller
+        headers = end_to_end(head.headers)
+        await caller.start(head.status, headers)
+        while True:
+            try:
+                await self._relay_connection()
+                await caller.end()
+                return
+            except CutShortError as error:
+                leg = await self._next_leg()
+                if leg is None:
+                    raise LostError(str(error)) from error
+                await self._continue_on(leg)
+
+    def leave(self, noticed_s: float) -> None:
+        """Begin to move off the engine, which announced its leaving."""
+        is_moving = self.evacuation_task is not None
+        if self.mover is None or is_moving or not self.has_begun:
+            return
+        engine = self.request.service.engine
+        if engine is None or not engine.can_move:
+            return
+        assert self.upstream is not None
+        made = self.positions.count * engine.tokens_per_event
+        departing = Departing(
+            self.request.identifier,
+            self.upstream,
+            self.request.service,
+            self.need,
+            noticed_s,
+            max(engine.tokens_per_event, self.need.output_tokens - made),
+        )
+        self.evacuation = Evacuation(self.node, self.mover, departing)
+        self.evacuation_task = asyncio.create_task(self.evacuation.run())
+
+    async def _send(
+        self,
+        connection: SingleUseConnection,
+        upstream: RoutedUpstream,
+        extra: Headers,
+    ) -> AnswerHead:
+        connection.send(
+            make_outgoing(
+                self.request,
+                self.node.dialect,
+                upstream.identifier,
+                self.node.now_s(),
+                extra,
+            )
+        )
+        try:
+            return await connection.read_head()
+        except CutShortError as error:
+            raise LostError(str(error)) from error
+
+    async def _relay_connection(self) -> None:
+        assert self.connection is not None
+        frames = EventFrames()
+        while True:
+            piece = await self.connection.read_piece()
+            if piece is None:
+                if frames.rest:
+                    raise CutShortError("ended within an event")
+                return
+            whole = b""
+            for frame in frames.feed(piece):
+                whole += self._take(frame)
+            if whole:
+                await self.request.caller.write(whole)
+
+    def _take(self, frame: Frame) -> bytes:
+        verdict = self.positions.judge(frame.event_id)
+        if verdict is Verdict.REPEATED:
+            return b""
+        if verdict is Verdict.GAP:
+            raise LostError("an event is missing")
+        now_s = self.node.now_s()
+        if self.positions.count == 1:
+            self._note_first(now_s)
+        else:
+            self._note_pause(now_s - self.last_event_s, now_s)
+        self.last_event_s = now_s
+        return frame.data
+
+    def _note_first(self, now_s: float) -> None:
+        self.first_event_s = now_s
+        assert self.upstream is not None and self.load is not None
+        read = UpstreamLoad(unread_tokens=self.load.unread_tokens)
+        self.node.picture.subtract(self.upstream.identifier, read)
+        self.load = self.load.minus(read)
+        self.node.load_changed.set()
+        self.node.registry.note_success(self.upstream.identifier)
+        departure = self.node.registry.departures.get(
+            self.upstream.identifier
+        )
+        if departure is not None:
+            self.leave(departure.at_s)
+
+    def _note_pause(self, pause_s: float, now_s: float) -> None:
+        assert self.upstream is not None
+        self.node.paces.add(self.upstream.identifier, pause_s, now_s)
+        self.node.metrics.pause.observe(pause_s)
+        self.longest_pause_s = max(self.longest_pause_s, pause_s)
+
+    async def _next_leg(self) -> Leg | None:
+        evacuation = self.evacuation
+        if evacuation is None or self.evacuation_task is None:
+            return None
+        if evacuation.is_stopping:
+            await asyncio.wait(
+                (self.evacuation_task,), timeout=MOVE_PATIENCE_S
+            )
+        else:
+            self.evacuation_task.cancel()
+            await asyncio.wait((self.evacuation_task,))
+        leg, evacuation.leg = evacuation.leg, None
+        return leg
+
+    async def _continue_on(self, leg: Leg) -> None:
+        assert self.evacuation is not None and self.connection is not None
+        self.connection.abort()
+        self.legs += 1
+        try:
+            head = await self._open_leg(leg, leg.upstream)
+            if is_not_executed(head, self.node.dialect) and leg.source:
+                head = await self._open_leg(
+                    leg._replace(connection=None), leg.source
+                )
+        except ConnectError as error:
+            raise LostError("the next engine can't be reached") from error
+        if head.status != 200:
+            raise LostError(f"the copy was not taken: {head.status}")
+        self.vacate()
+        reserved = self.evacuation.reserved
+        if reserved is not None:
+            self.load = reserved[1]
+            self.evacuation.reserved = None
+        self.upstream = leg.upstream
+        self.evacuation = None
+        self.evacuation_task = None
+        if not self.node.registry.is_usable(leg.upstream.identifier):
+            self.leave(self.node.now_s())
+
+    async def _open_leg(
+        self, leg: Leg, upstream: RoutedUpstream
+    ) -> AnswerHead:
+        connection = leg.connection
+        if connection is None:
+            connection = await SingleUseConnection.open(
+                upstream.address, CONNECT_S
+            )
+        self.connection = connection
+        dialect = self.node.dialect
+        extra = [
+            (dialect.continue_from, leg.value),
+            (dialect.last_event_id, self.positions.last_id),
+        ]
+        return await self._send(connection, upstream, extra)
--- /dev/null
+++ b/src/plantainsail/entry/gossip.py
@@ -0,0 +1,201 @@
+"""Messages between daemons: who lives, what runs where, how fresh.
+
+Datagrams carry what is worth little a moment later; the next one
+replaces what was lost.  Configurations and lists of upstreams, which
+are larger, are fetched over gRPC by whoever is behind.
+"""
+
+import asyncio
+
+import grpc
+import msgspec
+
+from plantainsail.entry.node import EntryNode
+from plantainsail.entry.snapshot import SnapshotExchange
+from plantainsail.routing.members import Heartbeat, LoadEntry, Member
+from plantainsail.routing.picture import UpstreamLoad
+from plantainsail.settings import split_address
+
+HEARTBEAT_S = 0.25
+# A daemon sends no more heartbeats a second than this, whatever the
+# size of the fleet.
+HEARTBEATS_A_SECOND = 120.0
+CHANGE_DELAY_S = 0.004
+SILENT_SEED_EVERY = 4
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Heartbeat)
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Speaks with every other daemon."""
+
+    def __init__(self, node: EntryNode, snapshots: SnapshotExchange) -> None:
+        self.node = node
+        self.snapshots = snapshots
+        self.sequence = 0
+        self.rounds = 0
+        self.transport: asyncio.DatagramTransport | None = None
+        self.live: set[str] = set()
+        self.fetches: dict[str, asyncio.Task[None]] = {}
+
+    async def start(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        address = split_address(self.node.settings.peer_address)
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=address
+        )
+
+    async def run(self) -> None:
+        """Send heartbeats to all and changes of load at once."""
+        await asyncio.gather(self._send_heartbeats(), self._send_changes())
+
+    def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
+        """Take one message."""
+        try:
+            heartbeat = DECODER.decode(data)
+        except msgspec.MsgspecError as error:
+            self.node.log.warning("message unreadable", reason=str(error))
+            return
+        now_s = self.node.now_s()
+        member = self.node.members.hear(heartbeat, now_s)
+        if member is None:
+            return
+        self._take(heartbeat, member, now_s)
+
+    def error_received(self, error: Exception) -> None:
+        """Note that a message could not be sent."""
+        self.node.log.debug("message not sent", reason=str(error))
+
+    def announce(self) -> None:
+        """Tell all daemons at once, as when this one leaves."""
+        for member in list(self.node.members.members.values()):
+            self._send(member, self._all_loads(), is_whole=True)
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            now_s = self.node.now_s()
+            self._note_liveness(now_s)
+            self.rounds += 1
+            loads = self._all_loads()
+            for member in list(self.node.members.members.values()):
+                is_silent = member.address not in self.live
+                if is_silent and self.rounds % SILENT_SEED_EVERY:
+                    continue
+                self._send(member, loads, is_whole=True)
+            pause_s = max(HEARTBEAT_S, len(self.live) / HEARTBEATS_A_SECOND)
+            await asyncio.sleep(pause_s)
+
+    async def _send_changes(self) -> None:
+        while True:
+            await self.node.load_changed.wait()
+            self.node.load_changed.clear()
+            await asyncio.sleep(CHANGE_DELAY_S)
+            changed = self.node.picture.take_changed()
+            if not changed:
+                continue
+            loads = tuple(
+                LoadEntry(identifier, load)
+                for identifier, load in changed.items()
+            )
+            for member in self.node.members.live(self.node.now_s()):
+                self._send(member, loads, is_whole=False)
+
+    def _all_loads(self) -> tuple[LoadEntry, ...]:
+        paces = self.node.paces.own(self.node.now_s())
+        own = self.node.picture.own
+        found: list[LoadEntry] = []
+        for identifier in own.keys() | paces.keys():
+            load = own.get(identifier, UpstreamLoad())
+            found.append(LoadEntry(identifier, load, paces.get(identifier)))
+        return tuple(found)
+
+    def _send(
+        self, member: Member, loads: tuple[LoadEntry, ...], *, is_whole: bool
+    ) -> None:
+        assert self.transport is not None
+        node = self.node
+        now_s = node.now_s()
+        age_s = node.in_force.age_s(now_s)
+        self.sequence += 1
+        heartbeat = Heartbeat(
+            address=node.settings.peer_address,
+            nonce=node.nonce,
+            sequence=self.sequence,
+            sent_ms=int(now_s * 1000),
+            echo_ms=member.sent_ms,
+            echo_nonce=member.nonce,
+            is_leaving=node.is_leaving,
+            configuration_version=node.in_force.version,
+            configuration_age_ms=-1 if age_s is None else int(age_s * 1000),
+            registry_revision=node.registry.revision,
+            is_whole=is_whole,
+            loads=loads,
+            members=(
+                node.members.to_tell(node.random, now_s) if is_whole else ()
+            ),
+        )
+        self.transport.sendto(
+            ENCODER.encode(heartbeat), split_address(member.address)
+        )
+
+    def _take(
+        self, heartbeat: Heartbeat, member: Member, now_s: float
+    ) -> None:
+        node = self.node
+        loads = {entry.identifier: entry.load for entry in heartbeat.loads}
+        node.picture.hear(
+            heartbeat.address, loads, now_s, is_whole=heartbeat.is_whole
+        )
+        for entry in heartbeat.loads:
+            if entry.pace is not None:
+                node.paces.hear(entry.identifier, entry.pace, now_s)
+        self._take_freshness(heartbeat)
+        self._fetch_if_behind(member, now_s)
+        node.load_changed.set()
+
+    def _take_freshness(self, heartbeat: Heartbeat) -> None:
+        is_echo = heartbeat.echo_nonce == self.node.nonce
+        if not is_echo or heartbeat.echo_ms < 0:
+            return
+        if heartbeat.configuration_age_ms < 0:
+            return
+        as_of_ms = heartbeat.echo_ms - heartbeat.configuration_age_ms
+        self.node.in_force.confirm(
+            heartbeat.configuration_version, as_of_ms / 1000
+        )
+
+    def _fetch_if_behind(self, member: Member, now_s: float) -> None:
+        node = self.node
+        version, revision = node.in_force.version, node.registry.revision
+        if not member.is_ahead_for(version, revision, now_s):
+            return
+        if member.address in self.fetches:
+            return
+        task = asyncio.create_task(self._fetch(member))
+        self.fetches[member.address] = task
+
+    async def _fetch(self, member: Member) -> None:
+        try:
+            await self.snapshots.fetch(member.address)
+        except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
+            self.node.log.warning(
+                "peer's lists not fetched",
+                peer=member.address,
+                reason=str(error)[:80],
+            )
+        finally:
+            member.ahead = None
+            del self.fetches[member.address]
+
+    def _note_liveness(self, now_s: float) -> None:
+        live = {member.address for member in self.node.members.live(now_s)}
+        for address in live - self.live:
+            self.node.log.info("peer regained", peer=address)
+        for address in self.live - live:
+            self.node.log.warning("peer lost", peer=address)
+        self.live = live
+        self.node.metrics.peers.set(len(live))
+        for address in self.node.members.forget_silent(now_s):
+            self.node.picture.forget(address)
--- /dev/null
+++ b/src/plantainsail/entry/handler.py
@@ -0,0 +1,173 @@
+"""Decides at a request's arrival who answers it."""
+
+from starlette.types import Receive, Scope, Send
+
+from plantainsail.entry.caller import (
+    BodyTooLargeError,
+    CallerExchange,
+    CallerGoneError,
+)
+from plantainsail.entry.dialect import read_number
+from plantainsail.entry.node import EntryNode
+from plantainsail.entry.plain import PlainForwarder
+from plantainsail.entry.request import RoutedRequest
+from plantainsail.entry.streaming import StreamForwarder
+from plantainsail.results import Code, Failure
+from plantainsail.routing.model import (
+    CallerLimits,
+    Organisation,
+    RequestKind,
+    Route,
+    Service,
+)
+from plantainsail.routing.table import RoutingTable, draw_service
+
+STARTING_RETRY_S = 0.4
+STALE_RETRY_S = 0.6
+LEAVING_RETRY_S = 0.02
+
+
+class RequestHandler:
+    """The application behind the callers' listener."""
+
+    def __init__(
+        self, node: EntryNode, plain: PlainForwarder, stream: StreamForwarder
+    ) -> None:
+        self.node = node
+        self.plain = plain
+        self.stream = stream
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        caller = CallerExchange(scope, receive, send)
+        caller.closes = self.node.is_leaving
+        with self.node.running.count("request"):
+            try:
+                await self._serve(caller)
+            except CallerGoneError:
+                self._log_gone(caller)
+            finally:
+                caller.stop_watching()
+
+    async def _serve(self, caller: CallerExchange) -> None:
+        arrived_s = self.node.now_s()
+        found = self._judge(caller)
+        try:
+            body = await caller.read_body(self._body_limit())
+        except BodyTooLargeError:
+            caller.closes = True
+            failure = Failure(Code.BODY_TOO_LARGE, "the body is too long")
+            await self._refuse(caller, failure)
+            return
+        if isinstance(found, Failure):
+            await self._refuse(caller, found)
+            return
+        table, route, organisation = found
+        caller.watch()
+        service = self._service_of(table, route)
+        if service is None:
+            failure = Failure(Code.NO_UPSTREAM, "the service is not listed")
+            await self._refuse(caller, failure)
+            return
+        dialect = self.node.dialect
+        deadline_ms = read_number(caller.get(dialect.deadline_ms))
+        left_s = route.timeout_s
+        if deadline_ms is not None:
+            left_s = min(left_s, deadline_ms / 1000)
+        identifier = caller.get(dialect.request_id) or b""
+        request = RoutedRequest(
+            identifier.decode("latin-1"),
+            caller,
+            route,
+            service,
+            organisation,
+            body,
+            arrived_s,
+            arrived_s + left_s,
+            table.configuration.version,
+        )
+        await caller.unless_gone(self._forward(request))
+
+    async def _forward(self, request: RoutedRequest) -> None:
+        if request.route.kind is not RequestKind.STREAMING:
+            await self.plain.forward(request)
+            return
+        await self.stream.forward(request)
+
+    def _judge(
+        self, caller: CallerExchange
+    ) -> tuple[RoutingTable, Route, Organisation | None] | Failure:
+        node = self.node
+        table = node.in_force.table
+        if table is None or node.registry.revision < 0:
+            return Failure(
+                Code.STARTING, "no configuration yet", STARTING_RETRY_S
+            )
+        host = (caller.get(b"host") or b"").decode("latin-1")
+        route = table.find_route(host, caller.path)
+        if route is None:
+            return Failure(Code.UNKNOWN_PATH, "no route fits")
+        if node.is_leaving and route.kind is RequestKind.STREAMING:
+            return Failure(Code.DRAINING, "leaving", LEAVING_RETRY_S)
+        if route.is_anonymous or not table.needs_keys:
+            return table, route, None
+        if not node.may_use_keys():
+            return Failure(
+                Code.LISTS_STALE,
+                "keys can't be checked against fresh lists",
+                STALE_RETRY_S,
+            )
+        key = self._key_of(caller)
+        if key is None:
+            return Failure(Code.MISSING_KEY, "the request carries no key")
+        organisation = table.find_organisation(key)
+        if organisation is None:
+            return Failure(Code.UNKNOWN_KEY, "nobody holds the key")
+        return table, route, organisation
+
+    def _body_limit(self) -> int:
+        table = self.node.in_force.table
+        if table is None:
+            return CallerLimits().body_bytes
+        return table.configuration.limits.body_bytes
+
+    def _key_of(self, caller: CallerExchange) -> str | None:
+        value = caller.get(b"authorization") or b""
+        scheme, _, key = value.partition(b" ")
+        if scheme.lower() != self.node.dialect.key_scheme:
+            return None
+        return key.strip().decode("latin-1")
+
+    def _service_of(self, table: RoutingTable, route: Route) -> Service | None:
+        name = draw_service(route, self.node.random.random())
+        return table.services.get(name)
+
+    async def _refuse(self, caller: CallerExchange, failure: Failure) -> None:
+        node = self.node
+        code = Code(failure.code)
+        node.metrics.refusals.labels(code.name.lower()).inc()
+        identifier = caller.get(node.dialect.request_id) or b""
+        age_s = node.in_force.age_s(node.now_s())
+        node.log.info(
+            "request refused",
+            request=identifier.decode("latin-1"),
+            code=int(code),
+            reason=failure.detail,
+            path=caller.path,
+            configuration=node.in_force.version,
+            configuration_age_ms=None if age_s is None else int(age_s * 1000),
+        )
+        await caller.refuse(failure)
+
+    def _log_gone(self, caller: CallerExchange) -> None:
+        identifier = caller.get(self.node.dialect.request_id) or b""
+        self.node.log.info(
+            "caller gone",
+            request=identifier.decode("latin-1"),
+            path=caller.path,
+            had_answer_begun=caller.is_started,
+        )
--- /dev/null
+++ b/src/plantainsail/entry/log_lines.py
@@ -0,0 +1,115 @@
+"""Log lines on standard output that never hold a request up.
+
+Lines of one event beyond a rate are left out and counted, and a reader
+that stops reading costs lines: what the pipe does not take at once is
+dropped, and the next line that gets through says how many were.
+"""
+
+import logging
+import os
+import time
+from collections.abc import MutableMapping
+from typing import Any
+
+import msgspec
+import structlog
+
+LINES_A_SECOND = 40
+BURST_LINES = 120
+
+
+class LineRate:
+    """Lets through a bounded number of lines of each event."""
+
+    def __init__(self) -> None:
+        self.left: dict[str, float] = {}
+        self.filled_s: dict[str, float] = {}
+        self.omitted: dict[str, int] = {}
+
+    def take(self, event: str, now_s: float) -> bool:
+        """Return whether one more line of an event may be written."""
+        left = self.left.get(event, float(BURST_LINES))
+        passed_s = now_s - self.filled_s.get(event, now_s)
+        left = min(BURST_LINES, left + passed_s * LINES_A_SECOND)
+        self.filled_s[event] = now_s
+        if left < 1.0:
+            self.left[event] = left
+            self.omitted[event] = self.omitted.get(event, 0) + 1
+            return False
+        self.left[event] = left - 1.0
+        return True
+
+    def take_omitted(self, event: str) -> int:
+        """Return how many lines were left out before this one."""
+        return self.omitted.pop(event, 0)
+
+
+class PipeWriter:
+    """Writes whole lines to a file descriptor without waiting."""
+
+    def __init__(self, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.rest = b""
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def msg(self, message: str) -> None:
+        """Write one line, or count it as dropped."""
+        if self.rest and not self._write(self.rest):
+            self.dropped += 1
+            return
+        line = message.encode() + b"\n"
+        if self.dropped:
+            note = b'{"event": "lines dropped", "count": %d}\n'
+            line = note % self.dropped + line
+            self.dropped = 0
+        self._write(line)
+
+    info = warning = error = debug = critical = exception = msg
+
+    def _write(self, data: bytes) -> bool:
+        try:
+            written = os.write(self.descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads any more; there is nowhere to say so.
+            written = len(data)
+        self.rest = data[written:]
+        return not self.rest
+
+
+def configure_entry_logging(level: str, descriptor: int = 1) -> None:
+    """Send bounded JSON lines to standard output."""
+    rate = LineRate()
+    writer = PipeWriter(descriptor)
+
+    def limit(
+        _: Any, __: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        name = str(event.get("event"))
+        if not rate.take(name, time.monotonic()):
+            raise structlog.DropEvent
+        omitted = rate.take_omitted(name)
+        if omitted:
+            event["omitted_before"] = omitted
+        return event
+
+    structlog.configure(
+        processors=[
+            limit,
+            structlog.processors.add_log_level,
+            structlog.processors.format_exc_info,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(serializer=_to_json),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.upper()]
+        ),
+        logger_factory=lambda *_: writer,
+        cache_logger_on_first_use=True,
+    )
+
+
+def _to_json(value: object, **_: object) -> str:
+    return msgspec.json.encode(value, enc_hook=str).decode()
--- /dev/null
+++ b/src/plantainsail/entry/metrics.py
@@ -0,0 +1,73 @@
+"""Prometheus metrics of the entry daemon."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 40.0,
+)  # fmt: skip
+PAUSE_BUCKETS_S = (0.02, 0.04, 0.08, 0.12, 0.18, 0.25, 0.5, 1.0, 4.0)
+
+
+class EntryMetrics:
+    """All metrics of one entry daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Routed requests, by kind and outcome.", "outcome"
+        )
+        self.refusals = Counter(
+            "plantainsail_entry_refusals",
+            "Requests refused or failed here, by code.",
+            ["code"],
+            registry=self.registry,
+        )
+        self.repeats = Counter(
+            "plantainsail_entry_repeats",
+            "Requests sent to another upstream, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.moves = Counter(
+            "plantainsail_entry_moves",
+            "Running generations moved off an engine, by result.",
+            ["result"],
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            "plantainsail_entry_latency_seconds",
+            "Time from a request's arrival to the first of its answer.",
+            ["kind"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.pause = Histogram(
+            "plantainsail_entry_pause_seconds",
+            "Time between two events of a stream.",
+            buckets=PAUSE_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.configuration_version = Gauge(
+            "plantainsail_entry_configuration_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.peers = Gauge(
+            "plantainsail_entry_peers",
+            "Daemons that spoke a short time ago.",
+            registry=self.registry,
+        )
+        self.task_failures = Counter(
+            "plantainsail_task_failures",
+            "Lasting tasks that failed and began again, by task.",
+            ["task"],
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, meaning: str, label: str) -> Counter:
+        return Counter(
+            f"plantainsail_entry_{name}",
+            meaning,
+            ["kind", label],
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/plantainsail/entry/node.py
@@ -0,0 +1,89 @@
+"""What the parts of one entry daemon share."""
+
+import asyncio
+import random
+
+from plantainsail.clock import Clock
+from plantainsail.entry.dialect import Dialect
+from plantainsail.entry.metrics import EntryMetrics
+from plantainsail.entry.settings import EntrySettings
+from plantainsail.identity import NONCE_BITS
+from plantainsail.logs import get_logger
+from plantainsail.routing.budget import RepeatBudget
+from plantainsail.routing.in_force import ConfigurationInForce
+from plantainsail.routing.members import Members
+from plantainsail.routing.pace import PaceBook
+from plantainsail.routing.picture import LoadPicture
+from plantainsail.routing.registry import Departure, UpstreamRegistry
+from plantainsail.runtime.running import RunningWork
+
+
+class EntryNode:
+    """State of one entry daemon; decisions are in `routing`."""
+
+    def __init__(
+        self, settings: EntrySettings, dialect: Dialect, clock: Clock
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.random = random.Random()
+        self.nonce = self.random.getrandbits(NONCE_BITS - 1)
+        self.in_force = ConfigurationInForce()
+        self.registry = UpstreamRegistry()
+        self.picture = LoadPicture()
+        self.paces = PaceBook()
+        self.members = Members(settings.peer_address, settings.seed_addresses)
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.metrics = EntryMetrics()
+        self.running = RunningWork()
+        self.log = get_logger("entry")
+        self.is_leaving = False
+        self.departed = asyncio.Event()
+        self.departures: list[Departure] = []
+        self.load_changed = asyncio.Event()
+
+    def now_s(self) -> float:
+        """Return the clock that counts suspended time."""
+        return self.clock.now_s()
+
+    def budget_of(self, service: str) -> RepeatBudget:
+        """Return the budget of repeats of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = RepeatBudget(
+                bounds.budget_ratio,
+                bounds.budget_extra,
+                bounds.budget_window_s,
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def note_departures(self, departures: list[Departure]) -> None:
+        """Tell those who move running work about leaving upstreams."""
+        if not departures:
+            return
+        for departure in departures:
+            self.log.info(
+                "upstream leaving",
+                upstream=departure.upstream.identifier,
+                address=departure.upstream.address,
+                service=departure.upstream.service,
+                revision=self.registry.revision,
+            )
+        self.departures += departures
+        self.departed.set()
+
+    def may_use_keys(self) -> bool:
+        """Return whether keys can be checked against fresh lists."""
+        return self.in_force.may_use_keys(
+            self.now_s(), self.settings.bounds.revocation_s
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        table = self.in_force.table
+        if self.is_leaving or table is None or self.registry.revision < 0:
+            return False
+        return not table.needs_keys or self.may_use_keys()
--- /dev/null
+++ b/src/plantainsail/entry/request.py
@@ -0,0 +1,95 @@
+"""A routed request that was found sound, on its way to an upstream."""
+
+from typing import NamedTuple
+
+from plantainsail.entry.caller import CallerExchange
+from plantainsail.entry.dialect import Dialect
+from plantainsail.routing.model import Organisation, Route, Service
+from plantainsail.upstreams.single_use import (
+    AnswerHead,
+    Headers,
+    OutgoingRequest,
+)
+
+CONTENT_LENGTH = b"content-length"
+METHODS_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
+# An upstream is told a little less than is left, so that its answer
+# still reaches the caller.
+MIN_TIME_LEFT_S = 0.002
+
+
+class RoutedRequest(NamedTuple):
+    """What was decided about a request at its arrival.
+
+    `deadline_s` is on the daemon's clock: the earlier of the caller's
+    deadline and the route's timeout.
+    """
+
+    identifier: str
+    caller: CallerExchange
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    body: bytes
+    arrived_s: float
+    deadline_s: float
+    configuration_version: int
+
+    @property
+    def priority(self) -> int:
+        """Return the rank that applies, 0 first."""
+        organisation = self.organisation
+        if organisation is not None and organisation.priority is not None:
+            return organisation.priority
+        return self.route.priority
+
+
+def make_outgoing(
+    request: RoutedRequest,
+    dialect: Dialect,
+    upstream: str,
+    now_s: float,
+    extra: Headers,
+) -> OutgoingRequest:
+    """Return the request as one upstream gets it."""
+    dropped = dialect.internal | {b"authorization", dialect.deadline_ms}
+    if request.organisation is None:
+        dropped = dropped - {b"authorization"}
+    headers: Headers = []
+    for name, value in request.caller.end_to_end_headers():
+        if name not in dropped:
+            headers.append((name, value))
+    left_ms = max(1, int((request.deadline_s - now_s) * 1000))
+    headers.append((dialect.deadline_ms, b"%d" % left_ms))
+    headers.append((dialect.expected_upstream, upstream.encode()))
+    if request.organisation is not None:
+        name = request.organisation.name.encode()
+        headers.append((dialect.organisation, name))
+    headers += extra
+    method = request.caller.method
+    if request.body or method not in METHODS_WITHOUT_BODY:
+        headers.append((CONTENT_LENGTH, b"%d" % len(request.body)))
+    return OutgoingRequest(
+        method, request.caller.target, headers, request.body
+    )
+
+
+def is_sound_head(
+    head: AnswerHead, request: RoutedRequest, dialect: Dialect
+) -> bool:
+    """Return whether an answer belongs to a request and is whole."""
+    echoed = head.get(dialect.request_id)
+    if echoed is not None and echoed.decode("latin-1") != request.identifier:
+        return False
+    encoding = head.get(b"content-encoding")
+    if encoding not in (None, b"identity"):
+        return False
+    is_success = 200 <= head.status < 300
+    return not is_success or head.get(dialect.signature) is not None
+
+
+def is_not_executed(head: AnswerHead, dialect: Dialect) -> bool:
+    """Return whether an upstream says that it didn't run a request."""
+    if head.status == 421:
+        return True
+    return head.get(dialect.not_executed) is not None
--- /dev/null
+++ b/src/plantainsail/entry/settings.py
@@ -0,0 +1,102 @@
+"""Settings of the entry daemon.
+
+An adapter makes them from its platform's settings; without one they
+are JSON with comments:
+
+    {
+        "host": "entry-1",
+        "availability_zone": "wa-south-1a",
+        "caller_address": "10.0.0.1:8080",
+        "readiness_address": "10.0.0.1:8081",
+        "peer_address": "10.0.0.1:8090",
+        "seed_addresses": ["10.0.0.2:8090"],
+    }
+"""
+
+from pathlib import Path
+from typing import NamedTuple
+
+import pyjson5
+from expression import Error, Ok, Result
+
+from plantainsail.records import decode_record
+from plantainsail.settings import SettingsError, is_address
+
+
+class EntryBounds(NamedTuple):
+    """Times and counts that operators promise, in seconds.
+
+    A key works for at most `revocation_s` after it was taken away.
+    Over all daemons, requests of a service are sent once more at most
+    `budget_ratio` of their number and `budget_extra` times in
+    `budget_window_s`.
+    """
+
+    revocation_s: float = 5.0
+    grace_s: float = 8.0
+    budget_ratio: float = 0.2
+    budget_extra: float = 50.0
+    budget_window_s: float = 10.0
+
+
+class EntrySettings(NamedTuple):
+    """All settings of one entry daemon.
+
+    `published_file` holds routes, services, organisations and
+    upstreams where no adapter brings them from a service.
+    """
+
+    host: str
+    availability_zone: str
+    caller_address: str
+    readiness_address: str
+    peer_address: str
+    seed_addresses: tuple[str, ...] = ()
+    metrics_address: str | None = None
+    published_file: str | None = None
+    published_address: str | None = None
+    log_level: str = "info"
+    bounds: EntryBounds = EntryBounds()
+
+
+def load_entry_settings(file: Path) -> Result[EntrySettings, SettingsError]:
+    """Read and check a settings file."""
+    try:
+        value = pyjson5.decode(file.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return Error(SettingsError(str(file), "file", str(error)))
+    except pyjson5.Json5DecoderException as error:
+        return Error(SettingsError(str(file), "text", str(error)))
+    record = decode_record(EntrySettings, value, "$")
+    if record.is_error():
+        problem = record.error
+        return Error(
+            SettingsError(
+                str(file),
+                problem.path,
+                f"expected {problem.expected}, found {problem.found}",
+            )
+        )
+    return check_entry_settings(record.ok, str(file))
+
+
+def check_entry_settings(
+    settings: EntrySettings, file: str
+) -> Result[EntrySettings, SettingsError]:
+    """Return the settings, or the first value that can't be used."""
+    addresses = {
+        "caller_address": settings.caller_address,
+        "readiness_address": settings.readiness_address,
+        "peer_address": settings.peer_address,
+    }
+    for index, seed in enumerate(settings.seed_addresses):
+        addresses[f"seed_addresses[{index}]"] = seed
+    for name, address in addresses.items():
+        if not is_address(address):
+            problem = f"expected an IP number and a port, found {address!r}"
+            return Error(SettingsError(file, f"$.{name}", problem))
+    for name, bound in settings.bounds._asdict().items():
+        if bound < 0:
+            problem = f"expected a positive number, found {bound!r}"
+            return Error(SettingsError(file, f"$.bounds.{name}", problem))
+    return Ok(settings)
--- /dev/null
+++ b/src/plantainsail/entry/snapshot.py
@@ -0,0 +1,95 @@
+"""Whole lists from one daemon to another, over gRPC.
+
+A daemon that the configuration service does not serve takes the
+configuration and the upstreams from a peer that is ahead of it.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import grpc
+import msgspec
+
+from plantainsail.entry.node import EntryNode
+from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
+
+SERVICE = "plantainsail.EntrySnapshots"
+METHOD = "Get"
+FETCH_TIMEOUT_S = 1.0
+MAX_MESSAGE_BYTES = 8_388_608
+OPTIONS = (
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+)
+
+
+class Snapshot(NamedTuple):
+    """All that a daemon has from the configuration service.
+
+    `age_ms` is the age of its proof of freshness, -1 without one.
+    """
+
+    configuration: RoutingConfiguration | None
+    age_ms: int
+    upstreams: tuple[RoutedUpstream, ...]
+    revision: int
+
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(Snapshot)
+PutInForce = Callable[[RoutingConfiguration, float | None, str], None]
+
+
+class SnapshotExchange:
+    """Gives snapshots to peers and fetches theirs."""
+
+    def __init__(self, node: EntryNode, put_in_force: PutInForce) -> None:
+        self.node = node
+        self.put_in_force = put_in_force
+        self.server = grpc.aio.server(options=OPTIONS)
+
+    async def start(self) -> None:
+        """Listen on the peer address."""
+        handler = grpc.unary_unary_rpc_method_handler(self._get)
+        self.server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler}),)
+        )
+        self.server.add_insecure_port(self.node.settings.peer_address)
+        await self.server.start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        await self.server.stop(0)
+
+    async def fetch(self, address: str) -> None:
+        """Take what a peer has that is newer."""
+        asked_s = self.node.now_s()
+        async with grpc.aio.insecure_channel(address, OPTIONS) as channel:
+            call = channel.unary_unary(f"/{SERVICE}/{METHOD}")
+            answer: bytes = await call(b"", timeout=FETCH_TIMEOUT_S)
+        snapshot = DECODER.decode(answer)
+        if snapshot.configuration is not None:
+            as_of_s = None
+            if snapshot.age_ms >= 0:
+                as_of_s = asked_s - snapshot.age_ms / 1000
+            self.put_in_force(snapshot.configuration, as_of_s, address)
+        self.node.note_departures(
+            self.node.registry.replace(
+                snapshot.upstreams, snapshot.revision, self.node.now_s()
+            )
+        )
+
+    async def _get(self, _: bytes, __: Any) -> bytes:
+        node = self.node
+        table = node.in_force.table
+        age_s = node.in_force.age_s(node.now_s())
+        return ENCODER.encode(
+            Snapshot(
+                None if table is None else table.configuration,
+                -1 if age_s is None else int(age_s * 1000),
+                tuple(node.registry.entries.values()),
+                node.registry.revision,
+            )
+        )
--- /dev/null
+++ b/src/plantainsail/entry/views.py
@@ -0,0 +1,50 @@
+"""Joins registry, loads and paces into what placement looks at."""
+
+from plantainsail.entry.node import EntryNode
+from plantainsail.routing.model import RoutedUpstream, Service
+from plantainsail.routing.placement import UNKNOWN_SLOWNESS, EngineView
+
+
+def engine_views(node: EntryNode, service: Service) -> list[EngineView]:
+    """Return the engines of a service as this daemon sees them now."""
+    now_s = node.now_s()
+    upstreams = node.registry.usable(service.name)
+    usual_s = {
+        upstream.identifier: node.paces.usual_s(upstream.identifier, now_s)
+        for upstream in upstreams
+    }
+    known = [pause_s for pause_s in usual_s.values() if pause_s]
+    fastest_s = min(known) if known else 0.0
+    views: list[EngineView] = []
+    for upstream in upstreams:
+        identifier = upstream.identifier
+        own_s = usual_s[identifier]
+        views.append(
+            EngineView(
+                upstream,
+                service.traits,
+                node.picture.load_of(identifier, now_s),
+                _slowness(own_s, fastest_s),
+                _now_slowness(node.paces.recent_s(identifier, now_s), own_s),
+                node.registry.is_suspect(identifier, now_s),
+                _is_same_zone(node, upstream),
+            )
+        )
+    node.random.shuffle(views)
+    return views
+
+
+def _slowness(pause_s: float | None, fastest_s: float) -> float:
+    if not pause_s or not fastest_s:
+        return UNKNOWN_SLOWNESS
+    return pause_s / fastest_s
+
+
+def _now_slowness(recent_s: float, usual_s: float | None) -> float:
+    if not recent_s or not usual_s:
+        return 1.0
+    return recent_s / usual_s
+
+
+def _is_same_zone(node: EntryNode, upstream: RoutedUpstream) -> bool:
+    return upstream.availability_zone == node.settings.availability_zone
--- /dev/null
+++ b/src/plantainsail/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/src/plantainsail/platform/calls.py
@@ -0,0 +1,77 @@
+"""One HTTP call with a JSON body, on a connection of its own."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+import msgspec
+
+from plantainsail.upstreams.single_use import (
+    ConnectError,
+    CutShortError,
+    OutgoingRequest,
+    SingleUseConnection,
+)
+
+CONNECT_S = 0.5
+
+
+class CallError(Exception):
+    """The call got no whole answer."""
+
+
+class CallAnswer(NamedTuple):
+    """Status and decoded body; the body is None where it isn't JSON."""
+
+    status: int
+    body: Any
+
+
+async def call(
+    address: str,
+    method: bytes,
+    target: str,
+    timeout_s: float,
+    body: object = None,
+) -> CallAnswer:
+    """Make one call, or raise `CallError`."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _call(address, method, target, body)
+    except TimeoutError as error:
+        raise CallError(f"no answer in {timeout_s:g} s") from error
+    except (ConnectError, CutShortError) as error:
+        raise CallError(str(error)) from error
+
+
+async def _call(
+    address: str, method: bytes, target: str, body: object
+) -> CallAnswer:
+    data = b"" if body is None else msgspec.json.encode(body)
+    headers = [
+        (b"host", address.encode()),
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(data)),
+    ]
+    connection = await SingleUseConnection.open(address, CONNECT_S)
+    try:
+        connection.send(
+            OutgoingRequest(method, target.encode(), headers, data)
+        )
+        head = await connection.read_head()
+        answer = bytearray()
+        while True:
+            piece = await connection.read_piece()
+            if piece is None:
+                break
+            answer += piece
+    finally:
+        connection.abort()
+    return CallAnswer(head.status, _decoded(bytes(answer)))
+
+
+def _decoded(data: bytes) -> Any:
+    try:
+        return msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        # Refusals may have no body; the status says all.
+        return None
--- /dev/null
+++ b/src/plantainsail/platform/decode.py
@@ -0,0 +1,167 @@
+"""Decodes what operators and upstreams write into the platform's store.
+
+Names are checked here and nowhere else.  An entry of an upstream that
+lacks a field, or has one of another type, names no upstream.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from plantainsail.routing.model import (
+    CallerLimits,
+    EngineTraits,
+    Organisation,
+    RequestKind,
+    RoutedUpstream,
+    Route,
+    RoutingConfiguration,
+    Service,
+    WeightedService,
+)
+
+MS = 1000.0
+BITS_PER_BYTE = 8
+MEGA = 1_000_000
+READY = "ready"
+DRAINING = "draining"
+
+Raw = Mapping[str, Any]
+
+
+class UnreadableError(ValueError):
+    """A value of the store does not have the form expected."""
+
+
+def decode_configuration(value: bytes) -> RoutingConfiguration:
+    """Return the operators' configuration."""
+    raw = _decode(value)
+    try:
+        return RoutingConfiguration(
+            version=int(raw["Version"]),
+            routes=tuple(_route(route) for route in raw["Routes"]),
+            services=tuple(_service(one) for one in raw["Services"]),
+            organisations=_organisations(raw.get("Tenants")),
+            limits=_limits(raw.get("Limits") or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise UnreadableError(f"configuration: {error!r}") from error
+
+
+def decode_upstream(identifier: str, value: bytes) -> RoutedUpstream:
+    """Return an upstream's entry."""
+    raw = _decode(value)
+    state = raw.get("State")
+    service = raw.get("Service")
+    address = raw.get("Address")
+    zone = raw.get("Zone")
+    slots = raw.get("Slots")
+    born = raw.get("born", 0)
+    texts = (service, address, zone)
+    if not all(isinstance(text, str) and text for text in texts):
+        raise UnreadableError(f"upstream {identifier}: a text is missing")
+    if state not in (READY, DRAINING):
+        raise UnreadableError(f"upstream {identifier}: state {state!r}")
+    if type(slots) is not int or slots < 1 or type(born) is not int:
+        raise UnreadableError(f"upstream {identifier}: a number is missing")
+    if not _is_address(str(address)):
+        raise UnreadableError(f"upstream {identifier}: address {address!r}")
+    return RoutedUpstream(
+        identifier,
+        str(service),
+        str(address),
+        str(zone),
+        slots,
+        state == DRAINING,
+        born,
+    )
+
+
+def _decode(value: bytes) -> Raw:
+    try:
+        raw = msgspec.json.decode(value)
+    except msgspec.DecodeError as error:
+        raise UnreadableError(str(error)) from error
+    if not isinstance(raw, dict):
+        raise UnreadableError("not an object")
+    return raw
+
+
+def _is_address(address: str) -> bool:
+    ip, _, port = address.rpartition(":")
+    return ip.count(".") == 3 and port.isdigit()
+
+
+def _route(raw: Raw) -> Route:
+    split = raw.get("TrafficSplit")
+    if split:
+        services = tuple(
+            WeightedService(one["Service"], float(one["Weight"]))
+            for one in split
+        )
+    else:
+        services = (WeightedService(raw["Service"], 1.0),)
+    return Route(
+        name=raw["Name"],
+        host=raw["Host"],
+        path_prefix=raw["PathPrefix"],
+        kind=RequestKind(raw["Kind"]),
+        services=services,
+        timeout_s=float(raw["TimeoutMs"]) / MS,
+        objective_s=float(raw["TargetLatencyMs"]) / MS,
+        pause_s=float(raw.get("TargetGapMs") or 0.0) / MS,
+        priority=int(raw.get("Priority") or 0),
+        max_attempts=max(1, int(raw.get("MaxAttempts") or 1)),
+        is_anonymous=bool(raw.get("AnonymousAccess")),
+    )
+
+
+def _service(raw: Raw) -> Service:
+    engine = raw.get("InferenceEngine")
+    return Service(
+        raw["Name"],
+        int(raw.get("ConnectionLimit") or 0),
+        _engine(engine) if engine else None,
+    )
+
+
+def _engine(raw: Raw) -> EngineTraits:
+    megabits = float(raw.get("LinkSpeedMbps") or 0.0)
+    return EngineTraits(
+        slots=int(raw["Slots"]),
+        memory_tokens=int(raw["KvCapacityTokens"]),
+        token_bytes=int(raw.get("KvTokenBytes") or 0),
+        link_bytes_s=megabits * MEGA / BITS_PER_BYTE,
+        can_move=bool(raw.get("Moves")),
+        # Copies that an engine sends as a run grows.
+        can_copy=bool(raw.get("Backups")),
+        # The platform's stride is in tokens, not in events.
+        tokens_per_event=max(1, int(raw.get("Stride") or 1)),
+    )
+
+
+def _organisations(raw: Any) -> tuple[Organisation, ...] | None:
+    if raw is None:
+        return None
+    found: list[Organisation] = []
+    for one in raw:
+        priority = one.get("Priority")
+        found.append(
+            Organisation(
+                one["Name"],
+                tuple(one.get("ApiKeys") or ()),
+                None if priority is None else int(priority),
+            )
+        )
+    return tuple(found)
+
+
+def _limits(raw: Raw) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(raw.get("MaxHeaderBytes") or usual.header_bytes),
+        body_bytes=int(raw.get("MaxBodyBytes") or usual.body_bytes),
+        header_s=float(raw.get("HeaderTimeoutMs") or usual.header_s * MS) / MS,
+        idle_s=float(raw.get("IdleTimeoutMs") or usual.idle_s * MS) / MS,
+    )
--- /dev/null
+++ b/src/plantainsail/platform/settings.py
@@ -0,0 +1,71 @@
+"""Reads the platform's settings file into the product's settings."""
+
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Result
+
+from plantainsail.entry.settings import (
+    EntryBounds,
+    EntrySettings,
+    check_entry_settings,
+)
+from plantainsail.settings import SettingsError
+
+VARIABLE = "PLANTAINSAIL_CONFIG"
+METRICS_PORT = 9464
+
+
+def load_platform_settings(
+    file: Path,
+) -> Result[EntrySettings, SettingsError]:
+    """Read and check the file; fields not known are passed over."""
+    try:
+        raw = tomllib.loads(file.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        return Error(SettingsError(str(file), "file", str(error)))
+    try:
+        settings = _settings(raw)
+    except KeyError as error:
+        return Error(SettingsError(str(file), str(error), "is missing"))
+    except (TypeError, ValueError, AttributeError) as error:
+        return Error(SettingsError(str(file), "a value", str(error)))
+    return check_entry_settings(settings, str(file))
+
+
+def _settings(raw: Mapping[str, Any]) -> EntrySettings:
+    listen = raw["ListenAddresses"]
+    ip = raw["IpAddress"]
+    # The same port carries datagrams and gRPC between daemons.
+    port = int(raw["InternalPortRange"][0])
+    seeds: list[str] = []
+    for seed in raw.get("SeedNodes") or ():
+        host, _, _ = str(seed).rpartition(":")
+        seeds.append(f"{host}:{port}")
+    return EntrySettings(
+        host=raw["NodeName"],
+        availability_zone=raw["Zone"],
+        caller_address=listen["Frontend"],
+        readiness_address=listen["Readiness"],
+        peer_address=f"{ip}:{port}",
+        seed_addresses=tuple(seeds),
+        metrics_address=f"{ip}:{METRICS_PORT}",
+        published_address=raw["Platform"]["Address"],
+        bounds=_bounds(raw.get("Bounds") or {}),
+    )
+
+
+def _bounds(raw: Mapping[str, Any]) -> EntryBounds:
+    usual = EntryBounds()
+    revocation_ms = raw.get("RevocationMs", usual.revocation_s * 1000)
+    return EntryBounds(
+        revocation_s=float(revocation_ms) / 1000,
+        grace_s=float(raw.get("GracePeriodS", usual.grace_s)),
+        budget_ratio=float(raw.get("RetryBudgetRatio", usual.budget_ratio)),
+        budget_extra=float(raw.get("RetryBudgetExtra", usual.budget_extra)),
+        budget_window_s=float(
+            raw.get("BudgetWindowS", usual.budget_window_s)
+        ),
+    )
--- /dev/null
+++ b/src/plantainsail/platform/store.py
@@ -0,0 +1,137 @@
+"""The one client of the platform's metadata store.  It only reads."""
+
+import base64
+import binascii
+from typing import Any
+from urllib.parse import quote
+
+from plantainsail.entry.source import (
+    Changes,
+    HistoryLostError,
+    PublishedUpstreams,
+    SourceError,
+    UpstreamChange,
+)
+from plantainsail.logs import get_logger
+from plantainsail.platform.calls import CallAnswer, CallError, call
+from plantainsail.platform.decode import (
+    UnreadableError,
+    decode_configuration,
+    decode_upstream,
+)
+from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
+
+CONFIGURATION_KEY = "op/config"
+UPSTREAM_PREFIX = "servers/"
+READ_TIMEOUT_S = 1.5
+WATCH_SLACK_S = 1.5
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+
+
+class PlatformStore:
+    """Reads configuration and upstreams from the store."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.log = get_logger("store")
+
+    async def read_configuration(self) -> RoutingConfiguration | None:
+        """Return the newest configuration, None before the first."""
+        target = f"/plantainsail/kv-key?Key={quote(CONFIGURATION_KEY)}"
+        answer = await self._get(target, READ_TIMEOUT_S)
+        if answer.status == HTTP_NOT_FOUND:
+            return None
+        return self._configuration(_checked(answer))
+
+    async def list_upstreams(self) -> PublishedUpstreams:
+        """Return all upstreams, page by page.
+
+        Pages are no snapshot: the revision is that of the first one,
+        so changes made meanwhile are seen again by the watch.
+        """
+        found: list[RoutedUpstream] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            target = f"/plantainsail/kv-range?PathPrefix={UPSTREAM_PREFIX}"
+            if after:
+                target += f"&After={quote(after)}"
+            page = _checked(await self._get(target, READ_TIMEOUT_S))
+            entries = page["Entries"]
+            if revision is None:
+                revision = int(page["At"])
+            for item in entries:
+                upstream = self._upstream(item)
+                if upstream is not None:
+                    found.append(upstream)
+            if not page.get("HasMore") or not entries:
+                return PublishedUpstreams(tuple(found), revision)
+            after = entries[-1]["Key"]
+
+    async def wait_for_changes(self, after: int, wait_s: float) -> Changes:
+        """Return the changes after a revision, waiting for the first."""
+        wait_ms = int(wait_s * 1000)
+        target = (
+            "/plantainsail/kv-watch?PathPrefix="
+            f"&After={after}&WaitTimeoutMs={wait_ms}"
+        )
+        answer = await self._get(target, wait_s + WATCH_SLACK_S)
+        if answer.status == HTTP_GONE:
+            raise HistoryLostError
+        body = _checked(answer)
+        configurations: list[RoutingConfiguration] = []
+        upstreams: list[UpstreamChange] = []
+        for event in body["events"]:
+            key = str(event["Key"])
+            if key == CONFIGURATION_KEY and not event.get("Deleted"):
+                configuration = self._configuration(event)
+                if configuration is not None:
+                    configurations.append(configuration)
+            if key.startswith(UPSTREAM_PREFIX):
+                upstreams.append(self._change(event))
+        return Changes(
+            tuple(configurations), tuple(upstreams), int(body["At"])
+        )
+
+    async def _get(self, target: str, timeout_s: float) -> CallAnswer:
+        try:
+            return await call(self.address, b"GET", target, timeout_s)
+        except CallError as error:
+            raise SourceError(str(error)) from error
+
+    def _configuration(self, item: Any) -> RoutingConfiguration | None:
+        try:
+            return decode_configuration(_value(item))
+        except UnreadableError as error:
+            self.log.warning("configuration unreadable", reason=str(error))
+            return None
+
+    def _upstream(self, item: Any) -> RoutedUpstream | None:
+        identifier = str(item["Key"]).removeprefix(UPSTREAM_PREFIX)
+        try:
+            return decode_upstream(identifier, _value(item))
+        except UnreadableError as error:
+            self.log.info("entry unreadable", reason=str(error))
+            return None
+
+    def _change(self, event: Any) -> UpstreamChange:
+        identifier = str(event["Key"]).removeprefix(UPSTREAM_PREFIX)
+        upstream = None
+        if not event.get("Deleted"):
+            upstream = self._upstream(event)
+        return UpstreamChange(identifier, upstream, int(event["Revision"]))
+
+
+def _checked(answer: CallAnswer) -> Any:
+    if answer.status != HTTP_OK or not isinstance(answer.body, dict):
+        raise SourceError(f"status {answer.status}")
+    return answer.body
+
+
+def _value(item: Any) -> bytes:
+    try:
+        return base64.b64decode(item["Value"], validate=True)
+    except (binascii.Error, KeyError, TypeError, ValueError) as error:
+        raise UnreadableError(f"value: {error!r}") from error
--- /dev/null
+++ b/src/plantainsail/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of routed requests: no input, no output, no clock."""
--- /dev/null
+++ b/src/plantainsail/routing/members.py
@@ -0,0 +1,169 @@
+"""Which daemons belong to the fleet, and what they say of themselves."""
+
+import random
+from typing import NamedTuple
+
+from plantainsail.routing.pace import Pace
+from plantainsail.routing.picture import UpstreamLoad
+
+LIVE_S = 1.6
+FORGET_S = 20.0
+BEHIND_S = 0.12
+BEHIND_UPSTREAMS_S = 0.6
+MAX_TOLD_MEMBERS = 24
+
+
+class LoadEntry(NamedTuple):
+    """What a daemon says of one upstream."""
+
+    identifier: str
+    load: UpstreamLoad
+    pace: Pace | None = None
+
+
+class Heartbeat(NamedTuple):
+    """One message between two daemons.
+
+    `sent_ms` is on the sender's clock and `echo_ms` the newest
+    `sent_ms` that the sender has from its receiver, whose run
+    `echo_nonce` names.  A sender's proof of freshness is
+    `configuration_age_ms` old, -1 without one.  A message with
+    `is_whole` carries all loads, another only those that changed.
+    """
+
+    address: str
+    nonce: int
+    sequence: int
+    sent_ms: int
+    echo_ms: int
+    echo_nonce: int
+    is_leaving: bool
+    configuration_version: int
+    configuration_age_ms: int
+    registry_revision: int
+    is_whole: bool
+    loads: tuple[LoadEntry, ...]
+    members: tuple[str, ...] = ()
+    deaths: tuple[tuple[int, int], ...] = ()
+
+
+class Ahead(NamedTuple):
+    """What a peer had that this daemon lacked, and since when."""
+
+    version: int
+    revision: int
+    since_s: float
+
+
+class Member:
+    """One other daemon."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.nonce = 0
+        self.sequence = -1
+        self.heard_s: float | None = None
+        self.sent_ms = -1
+        self.is_leaving = False
+        self.configuration_version = -1
+        self.registry_revision = -1
+        self.ahead: Ahead | None = None
+
+    def is_ahead_for(self, version: int, revision: int, now_s: float) -> bool:
+        """Return whether this daemon has been behind for too long.
+
+        `version` and `revision` are its own.  What it is behind is
+        noted at first sight: lists that change all the time don't
+        make a daemon look as if it stood still.
+        """
+        ahead = self.ahead
+        if ahead is not None and version < ahead.version:
+            return now_s - ahead.since_s >= BEHIND_S
+        if ahead is not None and revision < ahead.revision:
+            return now_s - ahead.since_s >= BEHIND_UPSTREAMS_S
+        self.ahead = None
+        is_version_ahead = self.configuration_version > version
+        if is_version_ahead or self.registry_revision > revision:
+            self.ahead = Ahead(
+                self.configuration_version, self.registry_revision, now_s
+            )
+        return False
+
+
+class Members:
+    """All daemons that this one knows of, but for itself."""
+
+    def __init__(self, address: str, seeds: tuple[str, ...]) -> None:
+        self.address = address
+        self.seeds = seeds
+        self.members: dict[str, Member] = {}
+        self.largest = 1
+        for seed in seeds:
+            self.learn(seed)
+
+    def learn(self, address: str) -> None:
+        """Note the address of a daemon."""
+        if address != self.address and address not in self.members:
+            self.members[address] = Member(address)
+
+    def hear(self, heartbeat: Heartbeat, now_s: float) -> Member | None:
+        """Take a message; None if it is older than one seen."""
+        if heartbeat.address == self.address:
+            return None
+        self.learn(heartbeat.address)
+        member = self.members[heartbeat.address]
+        if member.nonce != heartbeat.nonce:
+            member.nonce = heartbeat.nonce
+            member.sequence = -1
+        if heartbeat.sequence <= member.sequence:
+            return None
+        member.sequence = heartbeat.sequence
+        member.heard_s = now_s
+        member.sent_ms = heartbeat.sent_ms
+        member.is_leaving = heartbeat.is_leaving
+        member.configuration_version = heartbeat.configuration_version
+        member.registry_revision = heartbeat.registry_revision
+        for address in heartbeat.members:
+            self.learn(address)
+        self.largest = max(self.largest, len(self.live(now_s)) + 1)
+        return member
+
+    def live(self, now_s: float) -> list[Member]:
+        """Return the daemons that spoke a short time ago."""
+        found: list[Member] = []
+        for member in self.members.values():
+            if member.heard_s is None:
+                continue
+            if now_s - member.heard_s <= LIVE_S:
+                found.append(member)
+        return found
+
+    def rank(self, now_s: float) -> int:
+        """Return how many live daemons come before this one."""
+        before = 0
+        for member in self.live(now_s):
+            if not member.is_leaving and member.address < self.address:
+                before += 1
+        return before
+
+    def fleet_size(self) -> int | None:
+        """Return the largest fleet seen, None before any peer."""
+        return self.largest if self.largest > 1 else None
+
+    def to_tell(self, source: random.Random, now_s: float) -> tuple[str, ...]:
+        """Return addresses of live daemons for a message."""
+        addresses = [member.address for member in self.live(now_s)]
+        if len(addresses) > MAX_TOLD_MEMBERS:
+            addresses = source.sample(addresses, MAX_TOLD_MEMBERS)
+        return tuple(addresses)
+
+    def forget_silent(self, now_s: float) -> list[str]:
+        """Drop daemons that were silent for long; return them."""
+        gone: list[str] = []
+        for address, member in list(self.members.items()):
+            if address in self.seeds or member.heard_s is None:
+                continue
+            if now_s - member.heard_s > FORGET_S:
+                del self.members[address]
+                gone.append(address)
+        return gone
--- /dev/null
+++ b/src/plantainsail/routing/placement.py
@@ -0,0 +1,156 @@
+"""Chooses the upstream of a request.
+
+For generations the load that this answers is a fleet of engines that
+are nearly full of long streams: every prompt that an engine reads
+slows the streams that run there, and an engine that is slower than
+its like turns that into pauses that callers notice.  Long streams
+therefore go where engines are fast, and short requests rather where
+few long streams run.
+"""
+
+from typing import NamedTuple
+
+from plantainsail.routing.model import EngineTraits, RoutedUpstream
+from plantainsail.routing.picture import UpstreamLoad
+
+MEMORY_SHARE = 0.93
+# Tokens of prompts that an engine reads a second beside its streams.
+READ_TOKENS_S = 6_500.0
+UNKNOWN_SLOWNESS = 1.08
+SLOW_FROM = 1.14
+LONG_OUTPUT_TOKENS = 200
+SLOW_LONG_COST_S = 1.2
+LONG_CROWD_COST_S = 0.06
+SHORT_DISTURBS_COST_S = 0.05
+MEMORY_COST_S = 0.4
+NOW_SLOW_COST_S = 0.5
+NOW_SLOW_FROM = 1.9
+OTHER_ZONE_COST_S = 0.02
+OTHER_ZONE_COST_PLAIN = 0.02
+
+
+class GenerationNeed(NamedTuple):
+    """What one generation needs of an engine."""
+
+    prompt_tokens: int
+    output_tokens: int
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the memory held at its end."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def is_long(self) -> bool:
+        """Return whether its stream lasts for seconds."""
+        return self.output_tokens >= LONG_OUTPUT_TOKENS
+
+
+class EngineView(NamedTuple):
+    """One engine as this daemon sees it now.
+
+    `slowness` is its usual pause against that of the fastest engine,
+    and `now_slowness` its newest pause against its usual one.
+    """
+
+    upstream: RoutedUpstream
+    traits: EngineTraits
+    load: UpstreamLoad
+    slowness: float = UNKNOWN_SLOWNESS
+    now_slowness: float = 1.0
+    is_suspect: bool = False
+    is_same_zone: bool = True
+
+
+class EngineChoice(NamedTuple):
+    """The engine chosen, and when its first event is expected."""
+
+    upstream: RoutedUpstream
+    read_s: float
+    cost_s: float
+
+
+def has_room(view: EngineView, need: GenerationNeed) -> bool:
+    """Return whether a generation fits beside all that is planned."""
+    load = view.load
+    if load.running >= min(view.traits.slots, view.upstream.slots):
+        return False
+    held = load.memory_tokens + load.copy_tokens + need.memory_tokens
+    return held <= view.traits.memory_tokens * MEMORY_SHARE
+
+
+def read_time_s(view: EngineView, need: GenerationNeed) -> float:
+    """Return how long all prompts take to be read, this one last."""
+    tokens = view.load.unread_tokens + need.prompt_tokens
+    slowness = max(1.0, view.slowness) * max(1.0, view.now_slowness) ** 0.5
+    return tokens / READ_TOKENS_S * slowness
+
+
+def cost_s(view: EngineView, need: GenerationNeed) -> float:
+    """Return how bad an engine is for a generation, in seconds."""
+    load = view.load
+    cost = read_time_s(view, need)
+    held = load.memory_tokens + load.copy_tokens + need.memory_tokens
+    cost += MEMORY_COST_S * (held / view.traits.memory_tokens) ** 2
+    if view.now_slowness >= NOW_SLOW_FROM:
+        cost += NOW_SLOW_COST_S
+    if not view.is_same_zone:
+        cost += OTHER_ZONE_COST_S
+    if not need.is_long:
+        return cost + SHORT_DISTURBS_COST_S * load.long_running
+    cost += LONG_CROWD_COST_S * load.long_running
+    if view.slowness >= SLOW_FROM:
+        cost += SLOW_LONG_COST_S * min(1.0, (view.slowness - 1.0) / 0.3)
+    return cost
+
+
+def choose_engine(
+    views: list[EngineView], need: GenerationNeed, time_left_s: float
+) -> EngineChoice | None:
+    """Return the best engine with room, or None.
+
+    `time_left_s` is until the first event is late; an engine that can't
+    read the prompt by then is taken only where all are so.
+    """
+    best: EngineChoice | None = None
+    for view in views:
+        if view.is_suspect or not has_room(view, need):
+            continue
+        read_s = read_time_s(view, need)
+        cost = cost_s(view, need)
+        if read_s > time_left_s:
+            cost += 10.0
+        if best is None or cost < best.cost_s:
+            best = EngineChoice(view.upstream, read_s, cost)
+    return best
+
+
+class PlainView(NamedTuple):
+    """One upstream of a plain service as this daemon sees it now."""
+
+    upstream: RoutedUpstream
+    running: int
+    is_suspect: bool = False
+    is_same_zone: bool = True
+
+
+def choose_plain(
+    views: list[PlainView], tried: frozenset[str]
+) -> RoutedUpstream | None:
+    """Return the least loaded upstream that wasn't tried yet.
+
+    Suspects are taken only where nothing else is left.
+    """
+    best: RoutedUpstream | None = None
+    best_cost = 0.0
+    for view in views:
+        if view.upstream.identifier in tried:
+            continue
+        cost = (view.running + 1) / max(1, view.upstream.slots)
+        if view.is_suspect:
+            cost += 100.0
+        if not view.is_same_zone:
+            cost += OTHER_ZONE_COST_PLAIN
+        if best is None or cost < best_cost:
+            best, best_cost = view.upstream, cost
+    return best
--- a/src/plantainsail/runtime/lasting.py
+++ b/src/plantainsail/runtime/lasting.py
@@ -6,15 +6,23 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from prometheus_client import Counter
 
 from plantainsail.logs import get_logger
-from plantainsail.metrics import Metrics
 
 RESTART_DELAY_S = 0.2
 
 
+class CountsFailures(Protocol):
+    """Metrics with a counter of failed tasks, by task."""
+
+    task_failures: Counter
+
+
 async def keep_running(
-    name: str, run: Callable[[], Awaitable[None]], metrics: Metrics
+    name: str, run: Callable[[], Awaitable[None]], metrics: CountsFailures
 ) -> None:
     """Run something that should never end; begin again if it fails.
 
--- a/src/plantainsail/settings.py
+++ b/src/plantainsail/settings.py
@@ -174,7 +174,8 @@
     return f"line {before.count(chr(10)) + 1}"
 
 
-def _is_address(address: str) -> bool:
+def is_address(address: str) -> bool:
+    """Return whether a text is an IP number with a port."""
     ip, _, port = address.rpartition(":")
     if not (port.isascii() and port.isdigit() and len(port) <= len("65535")):
         return False
@@ -207,7 +208,7 @@
 def _find_problem(settings: Settings) -> RecordError | None:
     for name in ("caller_address", "operator_address", "peer_address"):
         address = getattr(settings, name)
-        if not _is_address(address):
+        if not is_address(address):
             return RecordError(
                 f"$.{name}", "an IP number and a port", repr(address)
             )
