--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -155,6 +155,8 @@
         self._keep("gossip", self.gossip.run)
         self._keep("departures", self.stream.follow_departures)
         self._keep("waiting", self.stream.line.run)
+        if self.stream.engine_watch is not None:
+            self._keep("engines", self.stream.engine_watch.run)
         self.node.log.info(
             "started",
             host=self.node.settings.host,
--- /dev/null
+++ b/src/plantainsail/entry/engine_watch.py
@@ -0,0 +1,83 @@
+"""Asks engines about their leaving.
+
+An engine that was announced to leave says how long it stays.  While
+the configuration service is away nobody announces anything, and the
+engines themselves are asked whether they leave, by whoever has streams
+there.
+"""
+
+import asyncio
+
+from plantainsail.entry.mover import EngineMover
+from plantainsail.entry.node import EntryNode
+from plantainsail.routing.model import RoutedUpstream
+from plantainsail.routing.registry import Departure
+
+# Reports are this old when they are given.
+REPORT_LAG_S = 0.62
+AWAY_INTERVAL_S = 0.3
+MAX_NOTICE_S = 30.0
+
+
+class EngineWatch:
+    """Keeps what engines say of their leaving."""
+
+    def __init__(self, node: EntryNode, mover: EngineMover) -> None:
+        self.node = node
+        self.mover = mover
+        self.asked: set[str] = set()
+
+    async def run(self) -> None:
+        """Ask engines with own streams while nobody announces."""
+        while True:
+            await asyncio.sleep(AWAY_INTERVAL_S)
+            if not self.node.registry.is_service_away:
+                continue
+            await asyncio.gather(
+                *(self._ask_if_leaving(one) for one in self._occupied())
+            )
+
+    async def ask_notice(self, departure: Departure) -> None:
+        """Learn how long a leaving engine stays."""
+        identifier = departure.upstream.identifier
+        if identifier in self.asked:
+            return
+        if identifier not in self.node.picture.own:
+            return
+        self.asked.add(identifier)
+        age_s = self.node.now_s() - departure.at_s
+        await asyncio.sleep(max(0.0, REPORT_LAG_S - age_s))
+        word = await self.mover.ask(departure.upstream.address)
+        if word is None or word.leaves_in_s is None:
+            return
+        # What is left was less by the report's age when it was given.
+        notice_s = min(MAX_NOTICE_S, word.leaves_in_s)
+        self.node.notices[identifier] = notice_s
+        self.node.log.info(
+            "engine gave notice",
+            upstream=identifier,
+            notice_ms=int(notice_s * 1000),
+        )
+
+    def _occupied(self) -> list[RoutedUpstream]:
+        found: list[RoutedUpstream] = []
+        for identifier in self.node.picture.own:
+            upstream = self.node.registry.entries.get(identifier)
+            if upstream is not None and not upstream.is_draining:
+                found.append(upstream)
+        return found
+
+    async def _ask_if_leaving(self, upstream: RoutedUpstream) -> None:
+        word = await self.mover.ask(upstream.address)
+        if word is None or not word.is_draining:
+            return
+        now_s = self.node.now_s()
+        notice_s = 0.0
+        if word.leaves_in_s is not None:
+            notice_s = max(0.0, word.leaves_in_s - REPORT_LAG_S)
+        self.node.notices[upstream.identifier] = notice_s
+        registry = self.node.registry
+        leaving = upstream._replace(is_draining=True)
+        self.node.note_departures(
+            registry.put(leaving, registry.revision, now_s)
+        )
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from plantainsail.entry.caller import end_to_end
+from plantainsail.entry.dialect import read_counts
 from plantainsail.entry.mover import (
     Departing,
     EngineMover,
@@ -155,18 +156,27 @@
         if engine is None or not engine.can_move:
             return
         assert self.upstream is not None
-        made = self.positions.count * engine.tokens_per_event
+        counts = read_counts(
+            self.request.caller.get(self.node.dialect.tokens)
+        )
         departing = Departing(
             self.request.identifier,
             self.upstream,
             self.request.service,
             self.need,
             noticed_s,
-            max(engine.tokens_per_event, self.need.output_tokens - made),
+            self.positions.count * engine.tokens_per_event,
+            counts.output_limit,
+        )
+        self.evacuation = Evacuation(
+            self.node, self.mover, departing, self._cut
         )
-        self.evacuation = Evacuation(self.node, self.mover, departing)
         self.evacuation_task = asyncio.create_task(self.evacuation.run())
 
+    def _cut(self) -> None:
+        if self.connection is not None:
+            self.connection.abort()
+
     async def _send(
         self,
         connection: SingleUseConnection,
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -42,6 +42,8 @@
         self.departed = asyncio.Event()
         self.departures: list[Departure] = []
         self.load_changed = asyncio.Event()
+        # Seconds from an engine's notice to its end, by its own word.
+        self.notices: dict[str, float] = {}
 
     def now_s(self) -> float:
         """Return the clock that counts suspended time."""
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from plantainsail.entry.dialect import read_counts, read_number
+from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.generation import (
     Generation,
     LostError,
@@ -21,6 +22,7 @@
     EngineChoice,
     GenerationNeed,
 )
+from plantainsail.routing.registry import Departure
 from plantainsail.upstreams.single_use import AnswerHead, CutShortError
 
 # A request waits for room for this part of its latency objective.
@@ -41,6 +43,10 @@
         self.mover = mover
         self.line = WaitingLine(node)
         self.generations: set[Generation] = set()
+        self.engine_watch: EngineWatch | None = None
+        if mover is not None:
+            self.engine_watch = EngineWatch(node, mover)
+        self.questions: set[asyncio.Task[None]] = set()
 
     async def follow_departures(self) -> None:
         """Move generations off engines as these announce to leave."""
@@ -50,11 +56,19 @@
             departures = self.node.departures
             self.node.departures = []
             for departure in departures:
+                self._ask_notice(departure)
                 for generation in list(self.generations):
                     self._move_if_there(
                         generation, departure.upstream, departure.at_s
                     )
 
+    def _ask_notice(self, departure: Departure) -> None:
+        if self.engine_watch is None:
+            return
+        task = asyncio.create_task(self.engine_watch.ask_notice(departure))
+        self.questions.add(task)
+        task.add_done_callback(self.questions.discard)
+
     async def forward(self, request: RoutedRequest) -> None:
         """Answer a request."""
         node = self.node
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -1,10 +1,12 @@
 """Copies runs between the platform's engines."""
 
-from plantainsail.entry.mover import CopyEnd
+from plantainsail.entry.mover import CopyEnd, EngineWord
 from plantainsail.logs import get_logger
 from plantainsail.platform.calls import CallError, call
 
 COPY_TIMEOUT_S = 2.5
+REPORT_TIMEOUT_S = 0.4
+HTTP_OK = 200
 
 
 class PlatformMover:
@@ -39,6 +41,25 @@
             handle = str(answer.body.get("KvHandle") or "")
         return CopyEnd(answer.status, handle)
 
+    async def ask(self, upstream: str) -> EngineWord | None:
+        """Read an engine's report, which is some hundred ms old."""
+        try:
+            answer = await call(
+                upstream, b"GET", "/plantainsail/report", REPORT_TIMEOUT_S
+            )
+        except CallError as error:
+            self.log.debug("no report", upstream=upstream, reason=str(error))
+            return None
+        if answer.status != HTTP_OK or not isinstance(answer.body, dict):
+            return None
+        leaves_ms = answer.body.get("leaves_ms")
+        leaves_in_s = None
+        if isinstance(leaves_ms, int | float):
+            leaves_in_s = leaves_ms / 1000
+        return EngineWord(
+            answer.body.get("State") == "draining", leaves_in_s
+        )
+
     def continue_value(self, source: str, handle: str) -> bytes:
         """Return the value that names a copy."""
         return f"{source}/{handle}".encode()
--- a/src/plantainsail/routing/evacuation.py
+++ b/src/plantainsail/routing/evacuation.py
@@ -5,50 +5,76 @@
 the stream goes on, and only what is new is copied at its end, with the
 stream stopped.  That last part is short only while no other stream's
 first copy is before it on the engine's link, so every daemon makes its
-last copies once no daemon has a first copy on its way, or once the
-time is nearly up.
+last copies once no daemon has a first copy on its way.  Where the time
+is up before that, a stream goes on from its first copy, and the little
+that this lacks is read again at the target.
 """
 
 from typing import NamedTuple
 
 # Engines that give notice are gone after as little as this.
-NOTICE_S = 1.5
-LAST_COPY_RESERVE_S = 0.35
-COPY_ALLOWANCE_S = 0.12
+USUAL_NOTICE_S = 1.5
+CUT_OVER_RESERVE_S = 0.3
+COPY_ALLOWANCE_S = 0.1
+OTHER_ZONE_FACTOR = 2.0
+# A stream that outlived its hint is expected to make this part of what
+# it has made once more.
+OUTLIVED_SHARE = 0.5
+END_ALLOWANCE = 1.6
 
 
-class EvacuationState(NamedTuple):
-    """What one daemon knows about an engine's leaving."""
+class LastStep(NamedTuple):
+    """What a stream with a first copy does now."""
 
-    noticed_s: float
-    first_copies: int
+    is_final_copy: bool
+    is_cut_over: bool
 
 
-def may_make_last_copy(state: EvacuationState, now_s: float) -> bool:
-    """Return whether a stream may be stopped for its last copy now."""
-    if state.first_copies <= 0:
-        return True
-    return now_s >= state.noticed_s + NOTICE_S - LAST_COPY_RESERVE_S
+WAIT = LastStep(False, False)
+FINAL_COPY = LastStep(True, False)
+CUT_OVER = LastStep(False, True)
 
 
-def is_first_copy_worth_it(
+def next_step(first_copies: int, gone_s: float, now_s: float) -> LastStep:
+    """Return what to do with a stream whose first copy is made.
+
+    `first_copies` are those on their way off the same engine, of all
+    daemons; `gone_s` is when the engine is expected to be gone.
+    """
+    if now_s >= gone_s - CUT_OVER_RESERVE_S:
+        return CUT_OVER
+    if first_copies <= 0:
+        return FINAL_COPY
+    return WAIT
+
+
+def copy_time_s(
     memory_tokens: int,
     token_bytes: int,
     link_bytes_s: float,
-    noticed_s: float,
-    now_s: float,
-) -> bool:
-    """Return whether a first copy can still end in time."""
+    *,
+    is_same_zone: bool,
+) -> float:
+    """Return how long a copy takes on a free link."""
     if link_bytes_s <= 0:
-        return True
-    copy_s = memory_tokens * token_bytes / link_bytes_s
-    left_s = noticed_s + NOTICE_S - now_s
-    return copy_s + COPY_ALLOWANCE_S <= left_s
+        return 0.0
+    factor = 1.0 if is_same_zone else OTHER_ZONE_FACTOR
+    return factor * memory_tokens * token_bytes / link_bytes_s
+
+
+def is_copy_worth_it(copy_s: float, gone_s: float, now_s: float) -> bool:
+    """Return whether a copy can still end before the engine is gone."""
+    return now_s + copy_s + COPY_ALLOWANCE_S <= gone_s
+
+
+def expected_tokens_left(made: int, expected: int, limit: int) -> int:
+    """Return how many tokens a stream is still expected to make."""
+    left = max(expected - made, int(made * OUTLIVED_SHARE))
+    return max(1, min(left, limit - made))
 
 
-def is_worth_moving(
-    output_tokens_left: int, token_s: float, noticed_s: float, now_s: float
+def ends_before(
+    tokens_left: int, token_s: float, gone_s: float, now_s: float
 ) -> bool:
-    """Return whether a stream would not end by itself in time."""
-    left_s = noticed_s + NOTICE_S - now_s
-    return output_tokens_left * token_s > left_s
+    """Return whether a stream surely ends before its engine is gone."""
+    return now_s + tokens_left * token_s * END_ALLOWANCE < gone_s
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -14,6 +14,9 @@
 from plantainsail.routing.picture import UpstreamLoad
 
 MEMORY_SHARE = 0.93
+# What is planned is the memory at the end; a run that is moved is lost
+# if it finds no room, so it may count on others ending before.
+MOVE_MEMORY_SHARE = 1.1
 # Tokens of prompts that an engine reads a second beside its streams.
 READ_TOKENS_S = 6_500.0
 UNKNOWN_SLOWNESS = 1.08
@@ -26,6 +29,7 @@
 NOW_SLOW_COST_S = 0.5
 NOW_SLOW_FROM = 1.9
 OTHER_ZONE_COST_S = 0.02
+OTHER_ZONE_MOVE_COST_S = 0.3
 OTHER_ZONE_COST_PLAIN = 0.02
 
 
@@ -70,13 +74,15 @@
     cost_s: float
 
 
-def has_room(view: EngineView, need: GenerationNeed) -> bool:
+def has_room(
+    view: EngineView, need: GenerationNeed, share: float = MEMORY_SHARE
+) -> bool:
     """Return whether a generation fits beside all that is planned."""
     load = view.load
     if load.running >= min(view.traits.slots, view.upstream.slots):
         return False
     held = load.memory_tokens + load.copy_tokens + need.memory_tokens
-    return held <= view.traits.memory_tokens * MEMORY_SHARE
+    return held <= view.traits.memory_tokens * share
 
 
 def read_time_s(view: EngineView, need: GenerationNeed) -> float:
@@ -125,6 +131,32 @@
     return best
 
 
+def choose_move_target(
+    views: list[EngineView], need: GenerationNeed
+) -> RoutedUpstream | None:
+    """Return the best engine for a run that leaves another.
+
+    Its memory is copied, so nothing is read there.  A copy to another
+    availability zone holds the leaving engine's link twice as long.
+    """
+    best: RoutedUpstream | None = None
+    best_cost = 0.0
+    for view in views:
+        if view.is_suspect or not has_room(view, need, MOVE_MEMORY_SHARE):
+            continue
+        load = view.load
+        held = load.memory_tokens + load.copy_tokens + need.memory_tokens
+        cost = MEMORY_COST_S * (held / view.traits.memory_tokens) ** 2
+        cost += LONG_CROWD_COST_S * load.long_running
+        if not view.is_same_zone:
+            cost += OTHER_ZONE_MOVE_COST_S
+        if view.slowness >= SLOW_FROM:
+            cost += SLOW_LONG_COST_S * min(1.0, (view.slowness - 1.0) / 0.3)
+        if best is None or cost < best_cost:
+            best, best_cost = view.upstream, cost
+    return best
+
+
 class PlainView(NamedTuple):
     """One upstream of a plain service as this daemon sees it now."""
 
