Take an entry removed after an outage for a departure

Ruled out: a late watch (the trace has the event after 5 ms). Entries count as lapsed only within 0.8 s of the return, and for 1.8 s.

--- a/src/plantainsail/routing/registry.py
+++ b/src/plantainsail/routing/registry.py
@@ -10,8 +10,12 @@
 
 from plantainsail.routing.model import RoutedUpstream
 
-# Upstreams announce themselves again within about two seconds.
-RETURN_GRACE_S = 2.6
+# Entries that lapsed while the service was away are gone at once when
+# it is back; one that is removed later was removed by its upstream.
+LAPSED_WITHIN_S = 0.8
+# Upstreams announce themselves again within about two seconds, which
+# is also how long one that leaves may still get requests.
+RETURN_GRACE_S = 1.8
 SUSPECT_S = 0.7
 MAX_SUSPECT_S = 5.0
 
@@ -146,7 +150,7 @@
             return True
         if self.service_back_s is None:
             return False
-        return now_s - self.service_back_s < RETURN_GRACE_S
+        return now_s - self.service_back_s < LAPSED_WITHIN_S
 
     def _depart(
         self, upstream: RoutedUpstream, now_s: float
