--- a/src/plantainsail/entry/mover.py
+++ b/src/plantainsail/entry/mover.py
@@ -17,7 +17,6 @@
     LastStep,
     copy_time_s,
     ends_before,
-    expected_tokens_left,
     is_copy_worth_it,
     next_step,
 )
@@ -85,6 +84,12 @@
     def continue_value(self, source: str, handle: str) -> bytes:
         """Return the header value that continues from a copy."""
 
+    def copy_holder_value(self, holder: str) -> bytes:
+        """Return the header value that has a run copied as it grows."""
+
+    def held_copy_value(self, holder: str, request: str) -> bytes:
+        """Return the header value that continues from such a copy."""
+
 
 class Leg(NamedTuple):
     """Where a generation goes on.
@@ -194,11 +199,7 @@
         pause_s = self.node.paces.usual_s(departing.source.identifier, now_s)
         if pause_s:
             token_s = pause_s / departing.service.traits.tokens_per_event
-        left = expected_tokens_left(
-            departing.made,
-            departing.need.output_tokens,
-            departing.output_limit,
-        )
+        left = max(1, departing.output_limit - departing.made)
         return ends_before(left, token_s, self.gone_s, now_s)
 
     async def _wait_for_target(
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -82,6 +82,7 @@
                 return
             generation = Generation(node, self.mover, request, need)
             generation.occupy(choice.upstream)
+            generation.keep_copy()
             self.generations.add(generation)
             self._log_placed(request, generation, choice)
             try:
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -63,3 +63,11 @@
     def continue_value(self, source: str, handle: str) -> bytes:
         """Return the value that names a copy."""
         return f"{source}/{handle}".encode()
+
+    def copy_holder_value(self, holder: str) -> bytes:
+        """Return the value that names who keeps a growing copy."""
+        return holder.encode()
+
+    def held_copy_value(self, holder: str, request: str) -> bytes:
+        """Return the value that names a copy at its holder."""
+        return f"{holder}/{request}".encode()
--- a/src/plantainsail/routing/evacuation.py
+++ b/src/plantainsail/routing/evacuation.py
@@ -15,12 +15,10 @@
 # Engines that give notice are gone after as little as this.
 USUAL_NOTICE_S = 1.5
 CUT_OVER_RESERVE_S = 0.3
-COPY_ALLOWANCE_S = 0.1
+COPY_ALLOWANCE_S = 0.02
 OTHER_ZONE_FACTOR = 2.0
-# A stream that outlived its hint is expected to make this part of what
-# it has made once more.
-OUTLIVED_SHARE = 0.5
-END_ALLOWANCE = 1.6
+# Steps take longer while prompts are read.
+END_ALLOWANCE = 1.4
 
 
 class LastStep(NamedTuple):
@@ -67,14 +65,12 @@
     return now_s + copy_s + COPY_ALLOWANCE_S <= gone_s
 
 
-def expected_tokens_left(made: int, expected: int, limit: int) -> int:
-    """Return how many tokens a stream is still expected to make."""
-    left = max(expected - made, int(made * OUTLIVED_SHARE))
-    return max(1, min(left, limit - made))
-
-
 def ends_before(
     tokens_left: int, token_s: float, gone_s: float, now_s: float
 ) -> bool:
-    """Return whether a stream surely ends before its engine is gone."""
+    """Return whether a stream surely ends before its engine is gone.
+
+    `tokens_left` is the most that it may still make: a hint of its
+    length is often wrong, and a move that was not needed costs little.
+    """
     return now_s + tokens_left * token_s * END_ALLOWANCE < gone_s
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -17,6 +17,8 @@
 # What is planned is the memory at the end; a run that is moved is lost
 # if it finds no room, so it may count on others ending before.
 MOVE_MEMORY_SHARE = 1.1
+COPY_MEMORY_SHARE = 0.7
+SLOW_HOLDER_GAIN = 0.1
 # Tokens of prompts that an engine reads a second beside its streams.
 READ_TOKENS_S = 6_500.0
 UNKNOWN_SLOWNESS = 1.08
@@ -157,6 +159,33 @@
     return best
 
 
+def choose_copy_holder(
+    views: list[EngineView], source: str, need: GenerationNeed
+) -> RoutedUpstream | None:
+    """Return the engine that keeps a copy of a long stream, or None.
+
+    The load that this answers is engines that end without notice: a
+    stream whose memory is kept elsewhere goes on there.  Copies take
+    memory that new streams could use, so they are made only where
+    there is plenty, and rather on engines that are slow.
+    """
+    best: RoutedUpstream | None = None
+    best_cost = 0.0
+    for view in views:
+        if view.upstream.identifier == source or view.is_suspect:
+            continue
+        if not has_room(view, need, COPY_MEMORY_SHARE):
+            continue
+        load = view.load
+        held = load.memory_tokens + load.copy_tokens
+        cost = held / view.traits.memory_tokens
+        if view.slowness >= SLOW_FROM:
+            cost -= SLOW_HOLDER_GAIN
+        if best is None or cost < best_cost:
+            best, best_cost = view.upstream, cost
+    return best
+
+
 class PlainView(NamedTuple):
     """One upstream of a plain service as this daemon sees it now."""
 
