--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -1,4 +1,4 @@
-"""Wires the entry daemon together and runs it until it is told to leave."""
+"""Wires the entry daemon together and runs it until it may leave."""
 
 import asyncio
 import gc
@@ -167,9 +167,7 @@
         gc.freeze()
 
     def _keep(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
-        task = asyncio.create_task(
-            keep_running(name, run, self.node.metrics)
-        )
+        task = asyncio.create_task(keep_running(name, run, self.node.metrics))
         self.tasks.append(task)
 
     def leave(self) -> None:
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -22,14 +22,10 @@
     is_sound_head,
     make_outgoing,
 )
-from plantainsail.entry.views import engine_views
 from plantainsail.routing.event_frames import EventFrames, Frame
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.picture import UpstreamLoad
-from plantainsail.routing.placement import (
-    GenerationNeed,
-    choose_copy_holder,
-)
+from plantainsail.routing.placement import GenerationNeed
 from plantainsail.routing.positions import EventPositions, Verdict
 from plantainsail.upstreams.single_use import (
     AnswerHead,
@@ -74,7 +70,6 @@
         self.first_event_s = 0.0
         self.longest_pause_s = 0.0
         self.legs = 0
-        self.holder: RoutedUpstream | None = None
         self.evacuation: Evacuation | None = None
         self.evacuation_task: asyncio.Task[None] | None = None
 
@@ -95,36 +90,6 @@
         self.node.picture.add(upstream.identifier, self.load)
         self.node.load_changed.set()
 
-    def keep_copy(self) -> None:
-        """Choose an engine that keeps a copy of a long stream."""
-        traits = self.request.service.traits
-        if self.mover is None or not traits.can_copy:
-            return
-        if not self.need.is_long or self.upstream is None:
-            return
-        views = engine_views(self.node, self.request.service)
-        holder = choose_copy_holder(
-            views, self.upstream.identifier, self.need
-        )
-        if holder is None:
-            return
-        self.holder = holder
-        self.node.picture.add(holder.identifier, self._copy_load())
-        self.node.load_changed.set()
-
-    def drop_copy(self) -> None:
-        """Give back the room of the copy."""
-        if self.holder is None:
-            return
-        self.node.picture.subtract(
-            self.holder.identifier, self._copy_load()
-        )
-        self.holder = None
-        self.node.load_changed.set()
-
-    def _copy_load(self) -> UpstreamLoad:
-        return UpstreamLoad(copy_tokens=self.need.memory_tokens)
-
     def vacate(self) -> None:
         """Give the room back."""
         if self.upstream is None or self.load is None:
@@ -141,7 +106,6 @@
         if self.connection is not None:
             self.connection.abort()
         self.vacate()
-        self.drop_copy()
         if self.evacuation is not None:
             self.evacuation.release()
             leg = self.evacuation.leg
@@ -161,9 +125,7 @@
             )
         except ConnectError as error:
             raise NotRunError("unreachable") from error
-        head = await self._send(
-            self.connection, self.upstream, self._copy_headers()
-        )
+        head = await self._send(self.connection, self.upstream, [])
         if is_not_executed(head, self.node.dialect):
             raise NotRunError("refused")
         if not is_sound_head(head, self.request, self.node.dialect):
@@ -195,9 +157,7 @@
         if engine is None or not engine.can_move:
             return
         assert self.upstream is not None
-        counts = read_counts(
-            self.request.caller.get(self.node.dialect.tokens)
-        )
+        counts = read_counts(self.request.caller.get(self.node.dialect.tokens))
         departing = Departing(
             self.request.identifier,
             self.upstream,
@@ -216,12 +176,6 @@
         if self.connection is not None:
             self.connection.abort()
 
-    def _copy_headers(self) -> Headers:
-        if self.holder is None or self.mover is None:
-            return []
-        value = self.mover.copy_holder_value(self.holder.address)
-        return [(self.node.dialect.copy_to, value)]
-
     async def _send(
         self,
         connection: SingleUseConnection,
@@ -279,9 +233,7 @@
         self.load = self.load.minus(read)
         self.node.load_changed.set()
         self.node.registry.note_success(self.upstream.identifier)
-        departure = self.node.registry.departures.get(
-            self.upstream.identifier
-        )
+        departure = self.node.registry.departures.get(self.upstream.identifier)
         if departure is not None:
             self.leave(departure.at_s)
 
@@ -292,12 +244,6 @@
         self.longest_pause_s = max(self.longest_pause_s, pause_s)
 
     async def _next_leg(self) -> Leg | None:
-        leg = await self._evacuated_leg()
-        if leg is not None:
-            return leg
-        return self._copied_leg()
-
-    async def _evacuated_leg(self) -> Leg | None:
         evacuation = self.evacuation
         if evacuation is None or self.evacuation_task is None:
             return None
@@ -311,24 +257,10 @@
         leg, evacuation.leg = evacuation.leg, None
         return leg
 
-    def _copied_leg(self) -> Leg | None:
-        """Return the leg from the copy that was kept, if it still is."""
-        holder = self.holder
-        if holder is None or self.mover is None or not self.has_begun:
-            return None
-        if not self.node.registry.is_usable(holder.identifier):
-            return None
-        value = self.mover.held_copy_value(
-            holder.address, self.request.identifier
-        )
-        return Leg(holder, value)
-
     async def _continue_on(self, leg: Leg) -> None:
         assert self.connection is not None
         self.connection.abort()
         self.legs += 1
-        is_copy = leg.upstream == self.holder
-        self.drop_copy()
         try:
             head = await self._open_leg(leg, leg.upstream)
             if is_not_executed(head, self.node.dialect) and leg.source:
@@ -339,30 +271,19 @@
             raise LostError("the next engine can't be reached") from error
         if head.status != HTTP_OK:
             raise LostError(f"the copy was not taken: {head.status}")
-        self._settle(leg.upstream, is_copy=is_copy)
+        self._settle(leg.upstream)
         if not self.node.registry.is_usable(leg.upstream.identifier):
             self.leave(self.node.now_s())
 
-    def _settle(self, upstream: RoutedUpstream, *, is_copy: bool) -> None:
+    def _settle(self, upstream: RoutedUpstream) -> None:
         """Move the load to the engine where the run goes on."""
         self.vacate()
         evacuation, self.evacuation = self.evacuation, None
         self.evacuation_task = None
-        if evacuation is not None and not is_copy:
-            if evacuation.reserved is not None:
-                self.load = evacuation.reserved[1]
-                evacuation.reserved = None
-        elif evacuation is not None:
-            evacuation.release()
         self.upstream = upstream
-        if self.load is None:
-            self.load = UpstreamLoad(
-                running=1,
-                long_running=int(self.need.is_long),
-                memory_tokens=self.need.memory_tokens,
-            )
-            self.node.picture.add(upstream.identifier, self.load)
-            self.node.load_changed.set()
+        if evacuation is not None and evacuation.reserved is not None:
+            self.load = evacuation.reserved[1]
+            evacuation.reserved = None
 
     async def _open_leg(
         self, leg: Leg, upstream: RoutedUpstream
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -59,9 +59,13 @@
             self.node.log.warning("message unreadable", reason=str(error))
             return
         now_s = self.node.now_s()
+        known = self.node.members.members.get(heartbeat.address)
+        is_new = known is None or known.nonce != heartbeat.nonce
         member = self.node.members.hear(heartbeat, now_s)
         if member is None:
             return
+        if is_new:
+            self._greet(member)
         self._take(heartbeat, member, now_s)
 
     def error_received(self, error: Exception) -> None:
@@ -73,6 +77,18 @@
         for member in list(self.node.members.members.values()):
             self._send(member, self._all_loads(), is_whole=True)
 
+    def _greet(self, member: Member) -> None:
+        """Answer a daemon at once that is new or began anew.
+
+        Daemons that start together find each other in some
+        milliseconds, and don't all fill the same engine meanwhile.
+        """
+        self.node.picture.forget(member.address)
+        self._send(member, self._all_loads(), is_whole=True)
+        for other in list(self.node.members.members.values()):
+            if other.heard_s is None:
+                self._send(other, self._all_loads(), is_whole=True)
+
     async def _send_heartbeats(self) -> None:
         while True:
             now_s = self.node.now_s()
--- a/src/plantainsail/entry/mover.py
+++ b/src/plantainsail/entry/mover.py
@@ -40,7 +40,7 @@
 USUAL_TOKEN_S = 0.009
 MAX_TARGETS = 2
 # A final copy carries little; one that takes longer waits for others.
-FINAL_COPY_S = 0.15
+FINAL_COPY_S = 0.09
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 
@@ -84,12 +84,6 @@
     def continue_value(self, source: str, handle: str) -> bytes:
         """Return the header value that continues from a copy."""
 
-    def copy_holder_value(self, holder: str) -> bytes:
-        """Return the header value that has a run copied as it grows."""
-
-    def held_copy_value(self, holder: str, request: str) -> bytes:
-        """Return the header value that continues from such a copy."""
-
 
 class Leg(NamedTuple):
     """Where a generation goes on.
--- a/src/plantainsail/entry/source.py
+++ b/src/plantainsail/entry/source.py
@@ -25,7 +25,7 @@
 
 
 class UpstreamChange(NamedTuple):
-    """An entry that was written, or removed where `upstream` is None."""
+    """An entry written, or removed where `upstream` is None."""
 
     identifier: str
     upstream: RoutedUpstream | None
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -1,7 +1,6 @@
 """Finds an engine for each streaming request and relays its stream."""
 
 import asyncio
-from typing import NamedTuple
 
 from plantainsail.entry.dialect import read_counts, read_number
 from plantainsail.entry.engine_watch import EngineWatch
@@ -82,7 +81,6 @@
                 return
             generation = Generation(node, self.mover, request, need)
             generation.occupy(choice.upstream)
-            generation.keep_copy()
             self.generations.add(generation)
             self._log_placed(request, generation, choice)
             try:
--- a/src/plantainsail/platform/decode.py
+++ b/src/plantainsail/platform/decode.py
@@ -14,8 +14,8 @@
     EngineTraits,
     Organisation,
     RequestKind,
-    RoutedUpstream,
     Route,
+    RoutedUpstream,
     RoutingConfiguration,
     Service,
     WeightedService,
@@ -134,8 +134,6 @@
         token_bytes=int(raw.get("KvTokenBytes") or 0),
         link_bytes_s=megabits * MEGA / BITS_PER_BYTE,
         can_move=bool(raw.get("Moves")),
-        # Copies that an engine sends as a run grows.
-        can_copy=bool(raw.get("Backups")),
         # The platform's stride is in tokens, not in events.
         tokens_per_event=max(1, int(raw.get("Stride") or 1)),
     )
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -56,18 +56,8 @@
         leaves_in_s = None
         if isinstance(leaves_ms, int | float):
             leaves_in_s = leaves_ms / 1000
-        return EngineWord(
-            answer.body.get("State") == "draining", leaves_in_s
-        )
+        return EngineWord(answer.body.get("State") == "draining", leaves_in_s)
 
     def continue_value(self, source: str, handle: str) -> bytes:
         """Return the value that names a copy."""
         return f"{source}/{handle}".encode()
-
-    def copy_holder_value(self, holder: str) -> bytes:
-        """Return the value that names who keeps a growing copy."""
-        return holder.encode()
-
-    def held_copy_value(self, holder: str, request: str) -> bytes:
-        """Return the value that names a copy at its holder."""
-        return f"{holder}/{request}".encode()
--- a/src/plantainsail/platform/program.py
+++ b/src/plantainsail/platform/program.py
@@ -10,6 +10,7 @@
 from plantainsail.clock import BootClock
 from plantainsail.entry.daemon import EntryDaemon
 from plantainsail.entry.log_lines import configure_entry_logging
+from plantainsail.entry.settings import EntrySettings
 from plantainsail.platform.mover import PlatformMover
 from plantainsail.platform.names import PLATFORM_DIALECT
 from plantainsail.platform.settings import VARIABLE, load_platform_settings
@@ -43,12 +44,12 @@
         print(f"{options.settings}: correct")
         return 0
     configure_entry_logging(settings.log_level)
-    assert settings.published_address is not None
     asyncio.run(_serve(settings))
     return 0
 
 
-async def _serve(settings):  # type: ignore[no-untyped-def]
+async def _serve(settings: EntrySettings) -> None:
+    assert settings.published_address is not None
     store = PlatformStore(settings.published_address)
     daemon = EntryDaemon(
         settings, PLATFORM_DIALECT, store, PlatformMover(), BootClock()
--- a/src/plantainsail/platform/settings.py
+++ b/src/plantainsail/platform/settings.py
@@ -65,7 +65,5 @@
         grace_s=float(raw.get("GracePeriodS", usual.grace_s)),
         budget_ratio=float(raw.get("RetryBudgetRatio", usual.budget_ratio)),
         budget_extra=float(raw.get("RetryBudgetExtra", usual.budget_extra)),
-        budget_window_s=float(
-            raw.get("BudgetWindowS", usual.budget_window_s)
-        ),
+        budget_window_s=float(raw.get("BudgetWindowS", usual.budget_window_s)),
     )
--- a/src/plantainsail/platform/store.py
+++ b/src/plantainsail/platform/store.py
@@ -71,7 +71,7 @@
             after = entries[-1]["Key"]
 
     async def wait_for_changes(self, after: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, waiting for the first."""
+        """Return what changed after a revision, waiting for it."""
         wait_ms = int(wait_s * 1000)
         target = (
             "/plantainsail/kv-watch?PathPrefix="
--- a/src/plantainsail/routing/budget.py
+++ b/src/plantainsail/routing/budget.py
@@ -12,7 +12,7 @@
 
 
 class RepeatBudget:
-    """Counts requests and repeats of one service in a sliding window."""
+    """Counts requests and repeats of one service in a window."""
 
     def __init__(self, ratio: float, extra: float, window_s: float) -> None:
         self.ratio = ratio
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -1,4 +1,4 @@
-"""Which daemons belong to the fleet, and what they say of themselves."""
+"""Which daemons belong to the fleet, and what they say."""
 
 import random
 from typing import NamedTuple
--- a/src/plantainsail/routing/model.py
+++ b/src/plantainsail/routing/model.py
@@ -55,7 +55,6 @@
     token_bytes: int = 0
     link_bytes_s: float = 0.0
     can_move: bool = False
-    can_copy: bool = False
     tokens_per_event: int = 1
 
 
@@ -69,10 +68,9 @@
     max_connections: int = 0
     engine: EngineTraits | None = None
 
-
     @property
     def traits(self) -> EngineTraits:
-        """Return the engine's traits, unbounded ones if not published."""
+        """Return the engine's traits, unbounded if not published."""
         return self.engine or UNBOUNDED
 
 
--- a/src/plantainsail/routing/picture.py
+++ b/src/plantainsail/routing/picture.py
@@ -16,8 +16,7 @@
 
     `memory_tokens` is what the running requests will hold at their
     ends, `unread_tokens` is the part of their prompts that no event
-    has shown to be read, `copy_tokens` memory kept there for requests
-    that run elsewhere, and `first_copies` is the number of requests
+    has shown to be read, and `first_copies` is the number of requests
     whose first copy off this upstream is on its way.
     """
 
@@ -25,7 +24,6 @@
     long_running: int = 0
     memory_tokens: int = 0
     unread_tokens: int = 0
-    copy_tokens: int = 0
     first_copies: int = 0
 
     def plus(self, other: "UpstreamLoad") -> "UpstreamLoad":
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -8,6 +8,7 @@
 few long streams run.
 """
 
+import math
 from typing import NamedTuple
 
 from plantainsail.routing.model import EngineTraits, RoutedUpstream
@@ -17,8 +18,6 @@
 # What is planned is the memory at the end; a run that is moved is lost
 # if it finds no room, so it may count on others ending before.
 MOVE_MEMORY_SHARE = 1.1
-COPY_MEMORY_SHARE = 0.7
-SLOW_HOLDER_GAIN = 0.1
 # Tokens of prompts that an engine reads a second beside its streams.
 READ_TOKENS_S = 6_500.0
 UNKNOWN_SLOWNESS = 1.08
@@ -27,6 +26,10 @@
 SLOW_LONG_COST_S = 1.2
 LONG_CROWD_COST_S = 0.06
 SHORT_DISTURBS_COST_S = 0.05
+# A prompt that is read on a slow engine makes pauses that callers of
+# the long streams there notice.
+SLOW_DISTURBS_COST_S = 0.45
+MAX_DISTURBED = 4
 MEMORY_COST_S = 0.4
 NOW_SLOW_COST_S = 0.5
 NOW_SLOW_FROM = 1.9
@@ -83,14 +86,15 @@
     load = view.load
     if load.running >= min(view.traits.slots, view.upstream.slots):
         return False
-    held = load.memory_tokens + load.copy_tokens + need.memory_tokens
+    held = load.memory_tokens + need.memory_tokens
     return held <= view.traits.memory_tokens * share
 
 
 def read_time_s(view: EngineView, need: GenerationNeed) -> float:
     """Return how long all prompts take to be read, this one last."""
     tokens = view.load.unread_tokens + need.prompt_tokens
-    slowness = max(1.0, view.slowness) * max(1.0, view.now_slowness) ** 0.5
+    passing = math.sqrt(max(1.0, view.now_slowness))
+    slowness = max(1.0, view.slowness) * passing
     return tokens / READ_TOKENS_S * slowness
 
 
@@ -98,12 +102,14 @@
     """Return how bad an engine is for a generation, in seconds."""
     load = view.load
     cost = read_time_s(view, need)
-    held = load.memory_tokens + load.copy_tokens + need.memory_tokens
+    held = load.memory_tokens + need.memory_tokens
     cost += MEMORY_COST_S * (held / view.traits.memory_tokens) ** 2
     if view.now_slowness >= NOW_SLOW_FROM:
         cost += NOW_SLOW_COST_S
     if not view.is_same_zone:
         cost += OTHER_ZONE_COST_S
+    if view.slowness >= SLOW_FROM:
+        cost += SLOW_DISTURBS_COST_S * min(MAX_DISTURBED, load.long_running)
     if not need.is_long:
         return cost + SHORT_DISTURBS_COST_S * load.long_running
     cost += LONG_CROWD_COST_S * load.long_running
@@ -147,7 +153,7 @@
         if view.is_suspect or not has_room(view, need, MOVE_MEMORY_SHARE):
             continue
         load = view.load
-        held = load.memory_tokens + load.copy_tokens + need.memory_tokens
+        held = load.memory_tokens + need.memory_tokens
         cost = MEMORY_COST_S * (held / view.traits.memory_tokens) ** 2
         cost += LONG_CROWD_COST_S * load.long_running
         if not view.is_same_zone:
@@ -159,33 +165,6 @@
     return best
 
 
-def choose_copy_holder(
-    views: list[EngineView], source: str, need: GenerationNeed
-) -> RoutedUpstream | None:
-    """Return the engine that keeps a copy of a long stream, or None.
-
-    The load that this answers is engines that end without notice: a
-    stream whose memory is kept elsewhere goes on there.  Copies take
-    memory that new streams could use, so they are made only where
-    there is plenty, and rather on engines that are slow.
-    """
-    best: RoutedUpstream | None = None
-    best_cost = 0.0
-    for view in views:
-        if view.upstream.identifier == source or view.is_suspect:
-            continue
-        if not has_room(view, need, COPY_MEMORY_SHARE):
-            continue
-        load = view.load
-        held = load.memory_tokens + load.copy_tokens
-        cost = held / view.traits.memory_tokens
-        if view.slowness >= SLOW_FROM:
-            cost -= SLOW_HOLDER_GAIN
-        if best is None or cost < best_cost:
-            best, best_cost = view.upstream, cost
-    return best
-
-
 class PlainView(NamedTuple):
     """One upstream of a plain service as this daemon sees it now."""
 
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -130,12 +130,8 @@
 def _keep_alive(writer: asyncio.StreamWriter) -> None:
     sock: socket.socket = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
     )
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- a/tests/test_routing_registry.py
+++ b/tests/test_routing_registry.py
@@ -12,9 +12,12 @@
 DRAIN_TIMEOUT_S = 2.0
 
 
-def upstream(identifier: str, **fields: object) -> RoutedUpstream:
-    usual = RoutedUpstream(identifier, "letters", "10.0.0.1:80", "a", 24)
-    return usual._replace(**fields)
+def upstream(
+    identifier: str, *, is_draining: bool = False, born_ms: int = 0
+) -> RoutedUpstream:
+    return RoutedUpstream(
+        identifier, "letters", "10.0.0.1:80", "a", 24, is_draining, born_ms
+    )
 
 
 @pytest.fixture
