--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -54,6 +54,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = self.node.now_s()
             self.node.note_departures(self.node.registry.sweep(now_s))
+            self.node.forget_gone_engines()
             age_s = self.node.in_force.age_s(now_s)
             if not is_read_due(age_s, self.node.members.rank(now_s)):
                 continue
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -70,6 +70,8 @@
         self.first_event_s = 0.0
         self.longest_pause_s = 0.0
         self.legs = 0
+        self.placed_s = 0.0
+        self.unread_at_start = 0
         self.evacuation: Evacuation | None = None
         self.evacuation_task: asyncio.Task[None] | None = None
 
@@ -89,6 +91,10 @@
         )
         self.node.picture.add(upstream.identifier, self.load)
         self.node.load_changed.set()
+        now_s = self.node.now_s()
+        load = self.node.picture.load_of(upstream.identifier, now_s)
+        self.unread_at_start = load.unread_tokens
+        self.placed_s = now_s
 
     def vacate(self) -> None:
         """Give the room back."""
@@ -233,6 +239,11 @@
         self.load = self.load.minus(read)
         self.node.load_changed.set()
         self.node.registry.note_success(self.upstream.identifier)
+        self.node.read_rates.note(
+            self.upstream.identifier,
+            self.unread_at_start,
+            now_s - self.placed_s,
+        )
         departure = self.node.registry.departures.get(self.upstream.identifier)
         if departure is not None:
             self.leave(departure.at_s)
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -124,7 +124,14 @@
         found: list[LoadEntry] = []
         for identifier in own.keys() | paces.keys():
             load = own.get(identifier, UpstreamLoad())
-            found.append(LoadEntry(identifier, load, paces.get(identifier)))
+            found.append(
+                LoadEntry(
+                    identifier,
+                    load,
+                    paces.get(identifier),
+                    self.node.read_rates.own.get(identifier),
+                )
+            )
         return tuple(found)
 
     def _send(
@@ -167,6 +174,8 @@
         for entry in heartbeat.loads:
             if entry.pace is not None:
                 node.paces.hear(entry.identifier, entry.pace, now_s)
+            if entry.read_tokens_s is not None:
+                node.read_rates.hear(entry.identifier, entry.read_tokens_s)
         self._take_freshness(heartbeat)
         self._fetch_if_behind(member, now_s)
         node.load_changed.set()
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -14,6 +14,7 @@
 from plantainsail.routing.members import Members
 from plantainsail.routing.pace import PaceBook
 from plantainsail.routing.picture import LoadPicture
+from plantainsail.routing.reading import ReadRates
 from plantainsail.routing.registry import Departure, UpstreamRegistry
 from plantainsail.runtime.running import RunningWork
 
@@ -33,6 +34,7 @@
         self.registry = UpstreamRegistry()
         self.picture = LoadPicture()
         self.paces = PaceBook()
+        self.read_rates = ReadRates()
         self.members = Members(settings.peer_address, settings.seed_addresses)
         self.budgets: dict[str, RepeatBudget] = {}
         self.metrics = EntryMetrics()
@@ -77,6 +79,12 @@
         self.departures += departures
         self.departed.set()
 
+    def forget_gone_engines(self) -> None:
+        """Drop what was learned of engines that are gone."""
+        known = self.registry.entries.keys() | self.picture.own.keys()
+        self.paces.forget_except(set(known))
+        self.read_rates.forget_except(set(known))
+
     def may_use_keys(self) -> bool:
         """Return whether keys can be checked against fresh lists."""
         return self.in_force.may_use_keys(
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -22,10 +22,9 @@
     GenerationNeed,
 )
 from plantainsail.routing.registry import Departure
+from plantainsail.routing.urgency import make_claim
 from plantainsail.upstreams.single_use import AnswerHead, CutShortError
 
-# A request waits for room for this part of its latency objective.
-WAIT_PART = 0.6
 HINT_SHARE = 1.0
 UNHINTED_SHARE = 0.6
 RETRY_AFTER_S = 0.5
@@ -150,32 +149,20 @@
     async def _wait_for_engine(
         self, request: RoutedRequest, need: GenerationNeed
     ) -> EngineChoice | None:
-        now_s = self.node.now_s()
-        objective_s = request.route.objective_s
-        first_event_by_s = request.arrived_s + objective_s
-        left_s = first_event_by_s - now_s
-        choice = self.line.try_now(request.service, need, left_s)
-        if choice is not None:
-            return choice
-        chosen = asyncio.get_running_loop().create_future()
-        waiter = Waiter(
+        route = request.route
+        # A caller's first try has the route's whole time left.
+        left_s = request.deadline_s - request.arrived_s
+        claim = make_claim(
             request.priority,
             request.arrived_s,
-            first_event_by_s,
-            request.service,
-            need,
-            chosen,
+            route.objective_s,
+            max(0.0, route.timeout_s - left_s),
+            request.deadline_s,
+        )
+        chosen = asyncio.get_running_loop().create_future()
+        return await self.line.wait(
+            Waiter(claim, request.service, need, chosen)
         )
-        until_s = request.arrived_s + WAIT_PART * objective_s
-        self.line.add(waiter)
-        try:
-            async with asyncio.timeout(max(0.0, until_s - now_s)):
-                found: EngineChoice = await chosen
-                return found
-        except TimeoutError:
-            return None
-        finally:
-            self.line.remove(waiter)
 
     def _no_room(self, request: RoutedRequest) -> Failure:
         if not self.node.registry.usable(request.service.name):
--- a/src/plantainsail/entry/views.py
+++ b/src/plantainsail/entry/views.py
@@ -26,6 +26,7 @@
                 node.picture.load_of(identifier, now_s),
                 _slowness(own_s, fastest_s),
                 _now_slowness(node.paces.recent_s(identifier, now_s), own_s),
+                node.read_rates.rate(identifier),
                 node.registry.is_suspect(identifier, now_s),
                 _is_same_zone(node, upstream),
             )
--- a/src/plantainsail/entry/waiting.py
+++ b/src/plantainsail/entry/waiting.py
@@ -1,8 +1,4 @@
-"""Generations that wait for an engine with room.
-
-The most urgent come first, then those that came first.  One that does
-not fit does not hold up smaller ones behind it.
-"""
+"""Generations that wait for an engine."""
 
 import asyncio
 from typing import NamedTuple
@@ -15,26 +11,35 @@
     GenerationNeed,
     choose_engine,
 )
+from plantainsail.routing.reading import USUAL_TOKENS_S
+from plantainsail.routing.urgency import (
+    Claim,
+    is_hopeless,
+    order_of,
+    terms_of,
+)
 
-LOOK_AGAIN_S = 0.02
+LOOK_AGAIN_S = 0.015
 
 
 class Waiter(NamedTuple):
-    """One generation that waits."""
+    """One generation that waits; None in `chosen` means no chance."""
 
-    priority: int
-    arrived_s: float
-    first_event_by_s: float
+    claim: Claim
     service: Service
     need: GenerationNeed
-    chosen: "asyncio.Future[EngineChoice]"
+    chosen: "asyncio.Future[EngineChoice | None]"
+
+    @property
+    def own_read_s(self) -> float:
+        """Return how long an idle engine reads its prompt."""
+        return self.need.prompt_tokens / USUAL_TOKENS_S
 
 
 class WaitingLine:
     """Gives engines to waiting generations in their order.
 
-    An engine is taken in the daemon's picture of loads by the caller
-    of `on_chosen` in the same step, so two can't get the same room.
+    One that fits nowhere does not hold up smaller ones behind it.
     """
 
     def __init__(self, node: EntryNode) -> None:
@@ -52,37 +57,42 @@
                 continue
             await asyncio.sleep(LOOK_AGAIN_S)
 
-    def add(self, waiter: Waiter) -> None:
-        """Let a generation wait."""
+    async def wait(self, waiter: Waiter) -> EngineChoice | None:
+        """Return an engine once it is this generation's turn."""
         self.waiters.append(waiter)
-        self.waiters.sort(key=lambda one: (one.priority, one.arrived_s))
-        self.arrived.set()
-
-    def remove(self, waiter: Waiter) -> None:
-        """Let a generation wait no more."""
-        if waiter in self.waiters:
-            self.waiters.remove(waiter)
-
-    def try_now(
-        self, service: Service, need: GenerationNeed, time_left_s: float
-    ) -> EngineChoice | None:
-        """Return an engine with room, if there is one now."""
-        views = engine_views(self.node, service)
-        return choose_engine(views, need, time_left_s)
+        self.look()
+        try:
+            if not waiter.chosen.done():
+                self.arrived.set()
+            return await waiter.chosen
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
 
     def look(self) -> None:
-        """Give every waiter that fits somewhere its engine."""
+        """Give the first generation that fits somewhere its engine.
+
+        Only one at a time: the next must see the load of the first.
+        """
         now_s = self.node.now_s()
+        self.waiters.sort(
+            key=lambda one: order_of(one.claim, one.own_read_s, now_s)
+        )
         for waiter in list(self.waiters):
-            if waiter.chosen.done():
-                self.waiters.remove(waiter)
-                continue
-            choice = self.try_now(
-                waiter.service, waiter.need, waiter.first_event_by_s - now_s
-            )
-            if choice is None:
+            if is_hopeless(waiter.claim, waiter.own_read_s, now_s):
+                self._give(waiter, None)
                 continue
-            self.waiters.remove(waiter)
+            choice = self._choose(waiter, now_s)
+            if choice is not None:
+                self._give(waiter, choice)
+                return
+
+    def _choose(self, waiter: Waiter, now_s: float) -> EngineChoice | None:
+        terms = terms_of(waiter.claim, waiter.own_read_s, now_s)
+        views = engine_views(self.node, waiter.service)
+        return choose_engine(views, waiter.need, terms.read_limit_s)
+
+    def _give(self, waiter: Waiter, choice: EngineChoice | None) -> None:
+        self.waiters.remove(waiter)
+        if not waiter.chosen.done():
             waiter.chosen.set_result(choice)
-            # The others see this load only after the waiter ran.
-            return
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -19,6 +19,7 @@
     identifier: str
     load: UpstreamLoad
     pace: Pace | None = None
+    read_tokens_s: float | None = None
 
 
 class Heartbeat(NamedTuple):
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -8,18 +8,16 @@
 few long streams run.
 """
 
-import math
 from typing import NamedTuple
 
 from plantainsail.routing.model import EngineTraits, RoutedUpstream
 from plantainsail.routing.picture import UpstreamLoad
+from plantainsail.routing.reading import USUAL_TOKENS_S
 
 MEMORY_SHARE = 0.93
 # What is planned is the memory at the end; a run that is moved is lost
 # if it finds no room, so it may count on others ending before.
 MOVE_MEMORY_SHARE = 1.1
-# Tokens of prompts that an engine reads a second beside its streams.
-READ_TOKENS_S = 6_500.0
 UNKNOWN_SLOWNESS = 1.08
 SLOW_FROM = 1.14
 LONG_OUTPUT_TOKENS = 200
@@ -67,6 +65,7 @@
     load: UpstreamLoad
     slowness: float = UNKNOWN_SLOWNESS
     now_slowness: float = 1.0
+    read_tokens_s: float = USUAL_TOKENS_S
     is_suspect: bool = False
     is_same_zone: bool = True
 
@@ -93,9 +92,7 @@
 def read_time_s(view: EngineView, need: GenerationNeed) -> float:
     """Return how long all prompts take to be read, this one last."""
     tokens = view.load.unread_tokens + need.prompt_tokens
-    passing = math.sqrt(max(1.0, view.now_slowness))
-    slowness = max(1.0, view.slowness) * passing
-    return tokens / READ_TOKENS_S * slowness
+    return tokens / view.read_tokens_s
 
 
 def cost_s(view: EngineView, need: GenerationNeed) -> float:
@@ -119,21 +116,21 @@
 
 
 def choose_engine(
-    views: list[EngineView], need: GenerationNeed, time_left_s: float
+    views: list[EngineView], need: GenerationNeed, read_limit_s: float
 ) -> EngineChoice | None:
     """Return the best engine with room, or None.
 
-    `time_left_s` is until the first event is late; an engine that can't
-    read the prompt by then is taken only where all are so.
+    Only engines that can read the prompt within `read_limit_s` are
+    taken.
     """
     best: EngineChoice | None = None
     for view in views:
         if view.is_suspect or not has_room(view, need):
             continue
         read_s = read_time_s(view, need)
+        if read_s > read_limit_s:
+            continue
         cost = cost_s(view, need)
-        if read_s > time_left_s:
-            cost += 10.0
         if best is None or cost < best.cost_s:
             best = EngineChoice(view.upstream, read_s, cost)
     return best
--- /dev/null
+++ b/src/plantainsail/routing/reading.py
@@ -0,0 +1,52 @@
+"""How fast each engine reads prompts, from the first events seen.
+
+Prompts of many requests are read at the same time, beside streams that
+run, on engines that differ and are slow at times.  What counts for the
+next request is how long all that was unread took until a first event.
+"""
+
+USUAL_TOKENS_S = 8_000.0
+NEW_SHARE = 0.25
+MIN_TOKENS_S = 1_000.0
+MAX_TOKENS_S = 30_000.0
+MIN_ELAPSED_S = 0.01
+
+
+class ReadRates:
+    """Tokens of prompts that engines read a second."""
+
+    def __init__(self) -> None:
+        self.own: dict[str, float] = {}
+        self.heard: dict[str, float] = {}
+
+    def note(self, identifier: str, tokens: int, elapsed_s: float) -> None:
+        """Take one first event.
+
+        `tokens` is what was unread when the request was sent, its own
+        prompt counted.
+        """
+        rate = tokens / max(MIN_ELAPSED_S, elapsed_s)
+        rate = min(MAX_TOKENS_S, max(MIN_TOKENS_S, rate))
+        before = self.rate(identifier)
+        self.own[identifier] = before + (rate - before) * NEW_SHARE
+
+    def hear(self, identifier: str, rate: float) -> None:
+        """Take a peer's word."""
+        self.heard[identifier] = rate
+
+    def rate(self, identifier: str) -> float:
+        """Return tokens a second, by own and peers' sight."""
+        own = self.own.get(identifier)
+        heard = self.heard.get(identifier)
+        if own is None:
+            return USUAL_TOKENS_S if heard is None else heard
+        if heard is None:
+            return own
+        return (own + heard) / 2
+
+    def forget_except(self, identifiers: set[str]) -> None:
+        """Drop engines that are gone."""
+        for rates in (self.own, self.heard):
+            for identifier in list(rates):
+                if identifier not in identifiers:
+                    del rates[identifier]
