--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -157,7 +157,6 @@
         self._keep("waiting", self.stream.line.run)
         if self.stream.engine_watch is not None:
             self._keep("engines", self.stream.engine_watch.run)
-            self._keep("rebalance", self.stream.rebalance)
         self.node.log.info(
             "started",
             host=self.node.settings.host,
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -27,7 +27,6 @@
 from plantainsail.routing.picture import UpstreamLoad
 from plantainsail.routing.placement import GenerationNeed
 from plantainsail.routing.positions import EventPositions, Verdict
-from plantainsail.routing.rebalance import Movable
 from plantainsail.upstreams.single_use import (
     AnswerHead,
     ConnectError,
@@ -72,7 +71,6 @@
         self.longest_pause_s = 0.0
         self.legs = 0
         self.placed_s = 0.0
-        self.was_rebalanced = False
         self.unread_at_start = 0
         self.evacuation: Evacuation | None = None
         self.evacuation_task: asyncio.Task[None] | None = None
@@ -156,14 +154,8 @@
                     raise LostError(str(error)) from error
                 await self._continue_on(leg)
 
-    def leave(
-        self, noticed_s: float, target: RoutedUpstream | None = None
-    ) -> None:
-        """Begin to move off the engine, which announced its leaving.
-
-        With a target the engine stays, and the move is worth nothing
-        if it isn't easy.
-        """
+    def leave(self, noticed_s: float) -> None:
+        """Begin to move off the engine, which announced its leaving."""
         is_moving = self.evacuation_task is not None
         if self.mover is None or is_moving or not self.has_begun:
             return
@@ -179,14 +171,11 @@
             noticed_s,
             self.tokens_made,
             self.output_limit,
-            target,
         )
-        self.was_rebalanced = self.was_rebalanced or target is not None
         self.evacuation = Evacuation(
             self.node, self.mover, departing, self._cut
         )
         self.evacuation_task = asyncio.create_task(self.evacuation.run())
-        self.evacuation_task.add_done_callback(self._forget_if_stayed)
 
     @property
     def tokens_made(self) -> int:
@@ -201,35 +190,6 @@
         counts = read_counts(self.request.caller.get(dialect.tokens))
         return counts.output_limit
 
-    def movable(self) -> Movable | None:
-        """Return the stream as one that may move, if it may."""
-        if self.upstream is None or not self.has_begun:
-            return None
-        if self.evacuation_task is not None:
-            return None
-        return Movable(
-            self.request.identifier,
-            self.upstream.identifier,
-            self.need,
-            self.node.now_s() - self.first_event_s,
-            self.need.output_tokens - self.tokens_made,
-            self.was_rebalanced,
-        )
-
-    def _forget_if_stayed(self, _: "asyncio.Task[None]") -> None:
-        """Let a stream that stayed be moved later."""
-        evacuation = self.evacuation
-        if evacuation is None or evacuation.departing.target is None:
-            return
-        if evacuation.leg is not None or evacuation.is_stopping:
-            return
-        self.evacuation = None
-        self.evacuation_task = None
-        assert self.upstream is not None
-        departure = self.node.registry.departures.get(self.upstream.identifier)
-        if departure is not None:
-            self.leave(departure.at_s)
-
     def _cut(self) -> None:
         if self.connection is not None:
             self.connection.abort()
--- a/src/plantainsail/entry/mover.py
+++ b/src/plantainsail/entry/mover.py
@@ -41,8 +41,6 @@
 MAX_TARGETS = 2
 # A final copy carries little; one that takes longer waits for others.
 FINAL_COPY_S = 0.09
-# A stream whose engine stays moves within this time or not at all.
-EASY_MOVE_S = 1.4
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 
@@ -80,9 +78,6 @@
         answer came.
         """
 
-    async def drop_copy(self, source: str, handle: str) -> None:
-        """Free a copy that is not needed, at both engines."""
-
     async def ask(self, upstream: str) -> EngineWord | None:
         """Ask an engine whether it leaves; None without an answer."""
 
@@ -107,8 +102,7 @@
     """A generation on an engine that leaves.
 
     `made` are its output tokens so far, `output_limit` is the most it
-    can make.  With a `target` the engine does not leave: the stream
-    moves there if that is easy, and stays otherwise.
+    can make.
     """
 
     request: str
@@ -118,7 +112,6 @@
     noticed_s: float
     made: int
     output_limit: int
-    target: RoutedUpstream | None = None
 
     @property
     def held_tokens(self) -> int:
@@ -168,18 +161,12 @@
     def gone_s(self) -> float:
         """Return when the source is expected to be gone."""
         departing = self.departing
-        if departing.target is not None:
-            return departing.noticed_s + EASY_MOVE_S
         notice_s = self.node.notices.get(
             departing.source.identifier, USUAL_NOTICE_S
         )
         return departing.noticed_s + notice_s
 
     async def _move(self) -> None:
-        chosen = self.departing.target
-        if chosen is not None:
-            await self._move_if_easy(chosen)
-            return
         if self._ends_by_itself():
             self.result = "ends by itself"
             return
@@ -199,14 +186,6 @@
             if copied.status == HTTP_NOT_FOUND:
                 return
 
-    async def _move_if_easy(self, target: RoutedUpstream) -> None:
-        copied = await self._first_copy(target)
-        self.result = f"first copy {copied.status}"
-        if copied.status != HTTP_OK:
-            self.release()
-            return
-        await self._finish(target, copied)
-
     def _ends_by_itself(self) -> bool:
         departing = self.departing
         now_s = self.node.now_s()
@@ -277,9 +256,6 @@
         connection = await self._connect(target)
         self.leg = self._make_leg(target, copied.handle, connection)
         step = await self._wait_for_step()
-        if step is CUT_OVER and self.departing.target is not None:
-            await self._give_up(copied, connection)
-            return
         self.is_stopping = True
         if step is CUT_OVER:
             self.result = "cut over"
@@ -299,17 +275,6 @@
             # is all there is.
             self.cut()
 
-    async def _give_up(
-        self, copied: CopyEnd, connection: SingleUseConnection | None
-    ) -> None:
-        self.result = "not easy"
-        self.leg = None
-        self.release()
-        if connection is not None:
-            connection.abort()
-        source = self.departing.source.address
-        await self.mover.drop_copy(source, copied.handle)
-
     async def _wait_for_step(self) -> LastStep:
         source = self.departing.source.identifier
         while True:
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -13,7 +13,6 @@
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.plain import read_whole, refuse_line
 from plantainsail.entry.request import RoutedRequest
-from plantainsail.entry.views import engine_views
 from plantainsail.entry.waiting import Waiter, WaitingLine
 from plantainsail.results import Code, Failure
 from plantainsail.routing.model import RoutedUpstream
@@ -22,7 +21,6 @@
     EngineChoice,
     GenerationNeed,
 )
-from plantainsail.routing.rebalance import Movable, choose_move
 from plantainsail.routing.registry import Departure
 from plantainsail.routing.urgency import make_claim
 from plantainsail.upstreams.single_use import AnswerHead, CutShortError
@@ -33,7 +31,6 @@
 RETRY_SPREAD_S = 1.5
 MAX_REFUSALS = 3
 MUTE_AFTER_S = 3.0
-REBALANCE_S = 0.12
 
 
 class StreamForwarder:
@@ -63,40 +60,6 @@
                         generation, departure.upstream, departure.at_s
                     )
 
-    async def rebalance(self) -> None:
-        """Move long streams to slow engines that read nothing."""
-        while True:
-            pause_s = REBALANCE_S * (0.7 + 0.6 * self.node.random.random())
-            await asyncio.sleep(pause_s)
-            by_service: dict[str, list[Generation]] = {}
-            for generation in self.generations:
-                name = generation.request.service.name
-                by_service.setdefault(name, []).append(generation)
-            for generations in by_service.values():
-                self._rebalance(generations)
-
-    def _rebalance(self, generations: list[Generation]) -> None:
-        node = self.node
-        streams: list[Movable] = []
-        for generation in generations:
-            if generation.evacuation_task is not None:
-                return
-            movable = generation.movable()
-            if movable is not None:
-                streams.append(movable)
-        if not streams:
-            return
-        service = generations[0].request.service
-        move = choose_move(streams, engine_views(node, service))
-        if move is None:
-            return
-        target = node.registry.entries.get(move.target)
-        if target is None:
-            return
-        for generation in generations:
-            if generation.request.identifier == move.request:
-                generation.leave(node.now_s(), target)
-
     def _ask_notice(self, departure: Departure) -> None:
         if self.engine_watch is None:
             return
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -41,19 +41,6 @@
             handle = str(answer.body.get("KvHandle") or "")
         return CopyEnd(answer.status, handle)
 
-    async def drop_copy(self, source: str, handle: str) -> None:
-        """Free a copy at the engine that made it and at its target."""
-        try:
-            await call(
-                source,
-                b"DELETE",
-                f"/plantainsail/kv-handle/{handle}",
-                REPORT_TIMEOUT_S,
-            )
-        except CallError as error:
-            # The copy expires by itself.
-            self.log.info("copy not freed", reason=str(error))
-
     async def ask(self, upstream: str) -> EngineWord | None:
         """Read an engine's report, which is some hundred ms old."""
         try:
