--- /dev/null
+++ b/src/plantainsail/entry/file_source.py
@@ -0,0 +1,130 @@
+"""Routes, services, organisations and upstreams from a file.
+
+The file is JSON with comments, with the fields of `PublishedFile`; a
+change counts once its `version` is higher:
+
+    {
+        "version": 3,
+        "routes": [{
+            "name": "letters", "host": "example.org",
+            "path_prefix": "/letters/", "kind": "streaming",
+            "services": [{"service": "engines", "weight": 1}],
+            "timeout_s": 39, "objective_s": 1.8, "pause_s": 0.18,
+        }],
+        "services": [{"name": "engines"}],
+        "upstreams": [{
+            "identifier": "engine-1", "service": "engines",
+            "address": "10.0.1.1:8000",
+            "availability_zone": "wa-south-1a", "slots": 24,
+        }],
+    }
+"""
+
+import asyncio
+from pathlib import Path
+from typing import NamedTuple
+
+import pyjson5
+
+from plantainsail.entry.source import (
+    Changes,
+    PublishedUpstreams,
+    SourceError,
+    UpstreamChange,
+)
+from plantainsail.records import decode_record
+from plantainsail.routing.model import (
+    CallerLimits,
+    Organisation,
+    Route,
+    RoutedUpstream,
+    RoutingConfiguration,
+    Service,
+)
+
+LOOK_INTERVAL_S = 0.2
+
+
+class PublishedFile(NamedTuple):
+    """All that a file publishes."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    upstreams: tuple[RoutedUpstream, ...]
+    organisations: tuple[Organisation, ...] | None = None
+    limits: CallerLimits = CallerLimits()
+
+
+class FileSource:
+    """Reads what a file publishes, again when its version grows."""
+
+    def __init__(self, file: Path) -> None:
+        self.file = file
+        self.last: PublishedFile | None = None
+
+    async def read_configuration(self) -> RoutingConfiguration | None:
+        """Return the file's configuration."""
+        return _configuration_of(self._read())
+
+    async def list_upstreams(self) -> PublishedUpstreams:
+        """Return the file's upstreams."""
+        self.last = self._read()
+        return PublishedUpstreams(self.last.upstreams, self.last.version)
+
+    async def wait_for_changes(self, after: int, wait_s: float) -> Changes:
+        """Return what is new once the file has a higher version."""
+        before = {} if self.last is None else _by_name(self.last)
+        published = self._read()
+        looks = int(wait_s / LOOK_INTERVAL_S)
+        for _ in range(looks):
+            if published.version > after:
+                break
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            published = self._read()
+        if published.version <= after:
+            return Changes((), (), after)
+        self.last = published
+        return Changes(
+            (_configuration_of(published),),
+            _differences(before, published),
+            published.version,
+        )
+
+    def _read(self) -> PublishedFile:
+        try:
+            value = pyjson5.decode(self.file.read_text(encoding="utf-8"))
+        except (OSError, ValueError) as error:
+            raise SourceError(f"{self.file}: {error}") from error
+        record = decode_record(PublishedFile, value, "$")
+        if record.is_error():
+            raise SourceError(f"{self.file}: {record.error}")
+        return record.ok
+
+
+def _configuration_of(published: PublishedFile) -> RoutingConfiguration:
+    return RoutingConfiguration(
+        published.version,
+        published.routes,
+        published.services,
+        published.organisations,
+        published.limits,
+    )
+
+
+def _by_name(published: PublishedFile) -> dict[str, RoutedUpstream]:
+    return {one.identifier: one for one in published.upstreams}
+
+
+def _differences(
+    before: dict[str, RoutedUpstream], published: PublishedFile
+) -> tuple[UpstreamChange, ...]:
+    after = _by_name(published)
+    version = published.version
+    changes: list[UpstreamChange] = []
+    for identifier in before.keys() - after.keys():
+        changes.append(UpstreamChange(identifier, None, version))
+    for identifier, upstream in after.items():
+        if before.get(identifier) != upstream:
+            changes.append(UpstreamChange(identifier, upstream, version))
+    return tuple(changes)
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -51,6 +51,15 @@
         """Return the clock that counts suspended time."""
         return self.clock.now_s()
 
+    def take_settings(self, settings: EntrySettings) -> None:
+        """Put new bounds and seeds in force."""
+        self.settings = self.settings._replace(
+            bounds=settings.bounds, seed_addresses=settings.seed_addresses
+        )
+        self.budgets.clear()
+        for seed in settings.seed_addresses:
+            self.members.learn(seed)
+
     def budget_of(self, service: str) -> RepeatBudget:
         """Return the budget of repeats of a service."""
         budget = self.budgets.get(service)
--- a/tests/test_not_run.py
+++ b/tests/test_not_run.py
@@ -12,6 +12,7 @@
     r"^\| `(?P<module>[^`]+)` \| (?P<number>\d+) `\w+` \| \S.*\|$"
 )
 EXPLICIT = {
+    "entry/plain.py",
     "tickets/failures.py",
     "tickets/ticket.py",
     "policy/retries.py",
--- /dev/null
+++ b/tests/test_routing_in_force.py
@@ -0,0 +1,65 @@
+"""The configuration in force never goes back and knows its age."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainsail.routing.in_force import (
+    READER_INTERVAL_S,
+    ConfigurationInForce,
+    is_read_due,
+)
+from plantainsail.routing.model import RoutingConfiguration
+
+REVOCATION_S = 5.0
+
+
+def version(number: int) -> RoutingConfiguration:
+    return RoutingConfiguration(number, (), (), ())
+
+
+@given(st.lists(st.integers(0, 30), max_size=30))
+def test_versions_never_go_back(numbers: list[int]) -> None:
+    in_force = ConfigurationInForce()
+    highest = -1
+    for number in numbers:
+        is_new = in_force.offer(version(number), None)
+        assert is_new == (number > highest)
+        highest = max(highest, number)
+        assert in_force.version == highest
+
+
+def test_a_key_is_good_for_less_than_the_bound_after_the_last_proof() -> None:
+    in_force = ConfigurationInForce()
+    assert not in_force.may_use_keys(0.0, REVOCATION_S)
+    in_force.offer(version(1), 10.0)
+    assert in_force.may_use_keys(10.0 + REVOCATION_S - 0.2, REVOCATION_S)
+    assert not in_force.may_use_keys(10.0 + REVOCATION_S, REVOCATION_S)
+
+
+def test_a_version_seen_without_proof_proves_nothing() -> None:
+    in_force = ConfigurationInForce()
+    in_force.offer(version(1), None)
+    assert not in_force.may_use_keys(0.0, REVOCATION_S)
+
+
+def test_proof_of_another_version_is_no_proof() -> None:
+    """A peer that is ahead or behind says nothing of this version."""
+    in_force = ConfigurationInForce()
+    in_force.offer(version(2), 10.0)
+    in_force.confirm(1, 20.0)
+    in_force.confirm(3, 20.0)
+    assert in_force.as_of_s == 10.0
+
+
+def test_older_proof_does_not_replace_newer() -> None:
+    in_force = ConfigurationInForce()
+    in_force.offer(version(2), 10.0)
+    in_force.confirm(2, 9.0)
+    assert in_force.as_of_s == 10.0
+
+
+def test_the_first_daemon_reads_for_all() -> None:
+    assert is_read_due(None, 5)
+    assert is_read_due(READER_INTERVAL_S, 0)
+    assert not is_read_due(READER_INTERVAL_S, 1)
+    assert is_read_due(2 * READER_INTERVAL_S, 2)
--- /dev/null
+++ b/tests/test_routing_picture.py
@@ -0,0 +1,143 @@
+"""The fleet's load is right after messages were lost or late."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainsail.routing.budget import RepeatBudget
+from plantainsail.routing.pace import MIN_SAMPLES, Pace, PaceBook
+from plantainsail.routing.picture import (
+    NO_LOAD,
+    PEER_SILENCE_S,
+    LoadPicture,
+    UpstreamLoad,
+)
+from plantainsail.routing.reading import USUAL_TOKENS_S, ReadRates
+
+ONE = UpstreamLoad(running=1, memory_tokens=100, unread_tokens=50)
+
+
+@given(st.lists(st.booleans(), max_size=60), st.integers(0, 2**16))
+def test_lost_changes_are_mended_by_the_next_whole_message(
+    is_delivered: list[bool], seed: int
+) -> None:
+    source = random.Random(seed)
+    sender, receiver = LoadPicture(), LoadPicture()
+    held: list[str] = []
+    for arrives in is_delivered:
+        if held and source.random() < 0.5:
+            sender.subtract(held.pop(), ONE)
+        else:
+            held.append(source.choice("abc"))
+            sender.add(held[-1], ONE)
+        changed = sender.take_changed()
+        if arrives:
+            receiver.hear("peer", changed, 0.0, is_whole=False)
+    receiver.hear("peer", dict(sender.own), 0.0, is_whole=True)
+    for engine in "abc":
+        assert receiver.load_of(engine, 0.0) == sender.load_of(engine, 0.0)
+        assert sender.load_of(engine, 0.0).running == held.count(engine)
+
+
+def test_a_silent_peer_takes_its_load_along() -> None:
+    picture = LoadPicture()
+    picture.add("a", ONE)
+    picture.hear("peer", {"a": ONE}, 0.0, is_whole=True)
+    assert picture.load_of("a", 0.1).running == 2
+    assert picture.load_of("a", PEER_SILENCE_S + 0.1).running == 1
+
+
+def test_what_ended_is_told_as_nothing() -> None:
+    picture = LoadPicture()
+    picture.add("a", ONE)
+    picture.take_changed()
+    picture.subtract("a", ONE)
+    assert picture.take_changed() == {"a": NO_LOAD}
+    assert picture.own == {}
+
+
+def test_a_peer_that_began_anew_has_no_load() -> None:
+    picture = LoadPicture()
+    picture.hear("peer", {"a": ONE}, 0.0, is_whole=True)
+    picture.forget("peer")
+    assert picture.load_of("a", 0.0) == NO_LOAD
+
+
+@pytest.fixture
+def paces() -> PaceBook:
+    return PaceBook()
+
+
+def test_reading_does_not_make_an_engine_look_slow(paces: PaceBook) -> None:
+    """Found on quiet-1: engines that read were taken for slow ones."""
+    now_s = 0.0
+    for step in range(100):
+        pause_s = 0.032 if step % 4 == 0 else 0.064
+        now_s += pause_s
+        paces.add("fast", pause_s, now_s)
+        paces.add("slow", pause_s * 1.3, now_s)
+    fast_s = paces.usual_s("fast", now_s)
+    slow_s = paces.usual_s("slow", now_s)
+    assert fast_s == pytest.approx(0.032)
+    assert slow_s == pytest.approx(0.0416)
+
+
+def test_events_that_came_together_are_no_pause(paces: PaceBook) -> None:
+    for step in range(MIN_SAMPLES):
+        paces.add("a", 0.04, step * 0.04)
+        paces.add("a", 0.0, step * 0.04)
+    assert paces.usual_s("a", 0.3) == pytest.approx(0.04)
+
+
+def test_the_shortest_pause_known_counts(paces: PaceBook) -> None:
+    paces.hear("a", Pace(0.03, 0.05), 0.0)
+    for step in range(MIN_SAMPLES):
+        paces.add("a", 0.06, step * 0.06)
+    assert paces.usual_s("a", 0.5) == pytest.approx(0.03)
+    paces.forget_except(set())
+    assert paces.usual_s("a", 0.5) is None
+
+
+def test_a_recent_pause_is_forgotten_soon(paces: PaceBook) -> None:
+    paces.hear("a", Pace(0.03, 0.2), 0.0)
+    assert paces.recent_s("a", 0.1) == pytest.approx(0.2)
+    assert paces.recent_s("a", 2.0) == 0.0
+
+
+def test_read_rates_follow_what_was_seen() -> None:
+    rates = ReadRates()
+    assert rates.rate("a") == USUAL_TOKENS_S
+    for _ in range(30):
+        rates.note("a", 4_000, 1.0)
+    assert rates.rate("a") == pytest.approx(4_000, rel=0.01)
+    rates.hear("a", 6_000)
+    assert rates.rate("a") == pytest.approx(5_000, rel=0.01)
+
+
+@given(st.integers(0, 2**16), st.integers(1, 9))
+def test_the_budget_holds_over_all_daemons(seed: int, daemons: int) -> None:
+    source = random.Random(seed)
+    ratio, extra, window_s = 0.2, 50.0, 10.0
+    budgets = [RepeatBudget(ratio, extra, window_s) for _ in range(daemons)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    for step in range(2_000):
+        now_s = step * 0.02
+        budget = source.choice(budgets)
+        if source.random() < 0.4:
+            budget.note_request(now_s)
+            requests.append(now_s)
+        elif budget.take_repeat(now_s, daemons if daemons > 1 else None):
+            repeats.append(now_s)
+    for end_s in range(10, 40):
+        asked = sum(end_s - window_s < at <= end_s for at in requests)
+        again = sum(end_s - window_s < at <= end_s for at in repeats)
+        assert again <= ratio * asked + extra
+
+
+def test_a_daemon_alone_has_no_part_of_the_extra() -> None:
+    budget = RepeatBudget(0.2, 50.0, 10.0)
+    assert not budget.take_repeat(0.0, None)
+    assert budget.take_repeat(0.0, 2)
--- /dev/null
+++ b/tests/test_routing_streams.py
@@ -0,0 +1,110 @@
+"""Events of one stream over several connections."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainsail.routing.evacuation import (
+    CUT_OVER,
+    CUT_OVER_RESERVE_S,
+    FINAL_COPY,
+    WAIT,
+    copy_time_s,
+    ends_before,
+    is_copy_worth_it,
+    next_step,
+)
+from plantainsail.routing.event_frames import EventFrames
+from plantainsail.routing.positions import EventPositions, Verdict
+
+GONE_S = 10.0
+
+
+def event(number: int, line_end: str = "\n") -> bytes:
+    lines = (f"id: {number}", "data: four tokens", "", "")
+    return line_end.join(lines).encode()
+
+
+@given(
+    st.lists(st.integers(1, 40), max_size=30),
+    st.sampled_from(["\n", "\r\n"]),
+)
+def test_cuts_of_the_network_do_not_show(
+    cuts: list[int], line_end: str
+) -> None:
+    stream = b"".join(event(number, line_end) for number in range(8))
+    frames = EventFrames()
+    found: list[bytes] = []
+    rest = stream
+    for cut in cuts:
+        found += [frame.data for frame in frames.feed(rest[:cut])]
+        rest = rest[cut:]
+    found += [frame.data for frame in frames.feed(rest)]
+    assert found == [event(number, line_end) for number in range(8)]
+    assert frames.rest == b""
+
+
+def test_an_event_that_is_not_whole_is_kept_back() -> None:
+    frames = EventFrames()
+    assert frames.feed(event(1)[:-1]) == []
+    assert frames.rest == event(1)[:-1]
+
+
+def test_an_event_without_number_is_passed_on() -> None:
+    frames = EventFrames()
+    assert frames.feed(b"data: x\n\n")[0].event_id == b""
+    positions = EventPositions()
+    assert positions.judge(b"") is Verdict.NEXT
+    assert positions.judge(b"") is Verdict.NEXT
+
+
+@given(
+    st.integers(0, 20),
+    st.integers(1, 5),
+    st.integers(2, 10),
+    st.integers(0, 9),
+)
+def test_a_join_repeats_nothing_and_misses_nothing(
+    first: int, step: int, before: int, overlap: int
+) -> None:
+    positions = EventPositions()
+    numbers = [first + step * n for n in range(before + 5)]
+    delivered: list[int] = []
+    again = numbers[max(0, before - overlap) :]
+    for number in numbers[:before] + again:
+        if positions.judge(str(number).encode()) is Verdict.NEXT:
+            delivered.append(number)
+    assert delivered == numbers
+
+
+def test_a_gap_after_a_join_is_seen() -> None:
+    positions = EventPositions()
+    for number in (1, 2, 3):
+        assert positions.judge(str(number).encode()) is Verdict.NEXT
+    assert positions.judge(b"5") is Verdict.GAP
+
+
+def test_a_last_copy_waits_for_first_copies_until_time_is_up() -> None:
+    assert next_step(0, GONE_S, 8.0) is FINAL_COPY
+    assert next_step(3, GONE_S, 8.0) is WAIT
+    up_s = GONE_S - CUT_OVER_RESERVE_S
+    assert next_step(3, GONE_S, up_s) is CUT_OVER
+    assert next_step(0, GONE_S, up_s) is CUT_OVER
+
+
+def test_a_copy_to_another_zone_takes_twice_as_long() -> None:
+    near_s = copy_time_s(4_000, 327_680, 5.875e9, is_same_zone=True)
+    far_s = copy_time_s(4_000, 327_680, 5.875e9, is_same_zone=False)
+    assert 0.2 < near_s < 0.25
+    assert far_s == 2 * near_s
+    assert copy_time_s(4_000, 327_680, 0.0, is_same_zone=True) == 0.0
+
+
+def test_a_copy_that_cannot_end_in_time_is_not_begun() -> None:
+    assert is_copy_worth_it(0.4, GONE_S, GONE_S - 0.5)
+    assert not is_copy_worth_it(0.4, GONE_S, GONE_S - 0.3)
+
+
+def test_only_the_limit_says_that_a_stream_ends_in_time() -> None:
+    """Found on trouble-3: streams outlived their hints."""
+    assert ends_before(40, 0.009, GONE_S, GONE_S - 1.5)
+    assert not ends_before(400, 0.009, GONE_S, GONE_S - 1.5)
