--- a/src/plantainsail/entry/snapshot.py
+++ b/src/plantainsail/entry/snapshot.py
@@ -29,7 +29,8 @@
 class Snapshot(NamedTuple):
     """What a daemon has from the configuration service.
 
-    The configuration is left out where the caller has it.  `age_ms` is the age of its proof of freshness, -1 without one.
+    The configuration is left out where the caller has it.  `age_ms`
+    is the age of its proof of freshness, -1 without one.
     """
 
     configuration: RoutingConfiguration | None
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -178,10 +178,8 @@
         for member in self.members.values():
             if member.heard_s is None or member.is_leaving:
                 continue
-            if (
-                member.configuration_version > version
-                or member.registry_revision > revision
-            ):
+            is_configured = member.configuration_version > version
+            if is_configured or member.registry_revision > revision:
                 found.append(member)
         return found
 
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -6,7 +6,8 @@
 import pytest
 
 from plantainsail.entry.daemon import EntryDaemon
-from plantainsail.entry.gossip import DECODER, ENCODER
+from plantainsail.entry.gossip import CHANGE_MARK, DECODER, ENCODER
+from plantainsail.routing.members import ListChange
 from plantainsail.routing.picture import UpstreamLoad
 from tests.standins.routed import (
     KEYS,
@@ -158,3 +159,28 @@
     gossip = pair.daemons[0].gossip
     gossip.datagram_received(b"\xff not a message", ("127.0.0.1", 1))
     assert gossip.node.in_force.version == 1
+
+
+async def test_told_changes_are_applied_if_nothing_is_missing(
+    pair: Pair,
+) -> None:
+    gossip = pair.daemons[1].gossip
+    registry = gossip.node.registry
+    upstream = registry.entries["u0"]
+    revision = registry.revision
+
+    def tell(after: int, revision: int, **fields: object) -> None:
+        change = ListChange("10.0.0.9:1", after, revision, (), ())
+        data = ENCODER.encode(change._replace(**fields))  # type: ignore[arg-type]
+        gossip.datagram_received(CHANGE_MARK + data, ("127.0.0.1", 1))
+
+    later = upstream._replace(identifier="u1")
+    tell(revision + 3, revision + 5, written=(later,))
+    assert not registry.is_usable("u1")
+    tell(revision, revision + 2, written=(later,))
+    assert registry.is_usable("u1")
+    tell(revision, revision + 1, removed=("u1",))
+    assert registry.is_usable("u1")
+    tell(revision + 1, revision + 4, removed=("u1",))
+    assert not registry.is_usable("u1")
+    assert registry.revision == revision + 4
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -9,6 +9,7 @@
     BEHIND_UPSTREAMS_S,
     FORGET_S,
     LIVE_S,
+    WATCHERS,
     Heartbeat,
     Members,
 )
@@ -111,3 +112,38 @@
     stuck_s = 40 * 0.05
     member.is_ahead_for(1, 39, stuck_s)
     assert member.is_ahead_for(1, 39, stuck_s + BEHIND_UPSTREAMS_S)
+
+
+def test_all_watch_in_a_small_fleet_and_few_in_a_large_one() -> None:
+    addresses = [f"10.0.0.{number}:7000" for number in range(100, 188)]
+    fleets = []
+    for own in addresses:
+        members = Members(own, ())
+        for other in addresses:
+            members.hear(beat(other, 1), 0.0)
+        fleets.append(members)
+    assert sum(one.is_watcher(0.1) for one in fleets) == WATCHERS
+    small = Members(addresses[8], ())
+    for other in addresses[:8]:
+        small.hear(beat(other, 1), 0.0)
+    assert small.is_watcher(0.1)
+
+
+def test_watchers_that_fall_silent_are_replaced() -> None:
+    members = Members("10.0.0.9:7000", ())
+    for number in range(10, 40):
+        members.hear(beat(f"10.0.0.{number}:7000", 1), 0.0)
+    # By text, 29 addresses and more come before this one.
+    assert not members.is_watcher(0.1)
+    for number in range(10, 40):
+        if number >= 37:
+            members.hear(beat(f"10.0.0.{number}:7000", 2), 5.0)
+    assert members.is_watcher(5.1)
+
+
+def test_only_those_that_are_ahead_are_asked(members: Members) -> None:
+    members.hear(beat("a:1", 1, configuration_version=3), 0.0)
+    members.hear(beat("b:1", 1, registry_revision=9), 0.0)
+    members.hear(beat("c:1", 1), 0.0)
+    ahead = [one.address for one in members.ahead_of(1, 1)]
+    assert ahead == ["a:1", "b:1"]
