Refuse requests under which engines died; tell a request's story from logs

Suspects of policy/quarantine.py travel in heartbeats of entry daemons. plantainsail trace ID prints the lines of a request and of the upstreams it met, in the order of each daemon's log.

--- a/src/plantainsail/cli/main.py
+++ b/src/plantainsail/cli/main.py
@@ -8,6 +8,7 @@
 
 from plantainsail.cli import commands, queries
 from plantainsail.cli.output import ExitStatus
+from plantainsail.cli.trace import trace
 
 DEFAULT_OPERATOR_ADDRESS = "127.0.0.1:8081"
 DEFAULT_CALLER_ADDRESS = "127.0.0.1:8080"
@@ -107,6 +108,16 @@
         parser.set_defaults(view=view)
         _add_address(parser, DEFAULT_OPERATOR_ADDRESS)
         _add_json(parser)
+    parser = _add(
+        parsers,
+        "trace",
+        "tell what became of a request, from the logs of daemons",
+        trace,
+    )
+    parser.add_argument("request", help="the id of the request")
+    parser.add_argument(
+        "files", type=Path, nargs="*", help="log files (default: input)"
+    )
     parser = _add(
         parsers, "explain", "say what a result code means", queries.explain
     )
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -10,6 +10,7 @@
 import grpc
 import msgspec
 
+from plantainsail.entry import deaths
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.snapshot import SnapshotExchange
 from plantainsail.routing.members import (
@@ -197,6 +198,9 @@
             registry_revision=node.registry.revision,
             is_whole=is_whole,
             loads=loads,
+            suspects=(
+                deaths.to_tell(node.quarantine, now_s) if is_whole else ()
+            ),
             members=(
                 node.members.to_tell(node.random, now_s) if is_whole else ()
             ),
@@ -218,6 +222,7 @@
                 node.paces.hear(entry.identifier, entry.pace, now_s)
             if entry.read_tokens_s is not None:
                 node.read_rates.hear(entry.identifier, entry.read_tokens_s)
+        deaths.take_told(node.quarantine, heartbeat.suspects, now_s)
         self._take_freshness(heartbeat)
         self._fetch_if_behind(member, now_s)
         node.load_changed.set()
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -9,6 +9,7 @@
 from plantainsail.entry.settings import EntrySettings
 from plantainsail.identity import NONCE_BITS
 from plantainsail.logs import get_logger
+from plantainsail.policy.quarantine import Quarantine
 from plantainsail.routing.budget import RepeatBudget
 from plantainsail.routing.in_force import ConfigurationInForce
 from plantainsail.routing.members import Members
@@ -34,6 +35,7 @@
         self.registry = UpstreamRegistry()
         self.picture = LoadPicture()
         self.paces = PaceBook()
+        self.quarantine = Quarantine()
         self.read_rates = ReadRates()
         self.members = Members(settings.peer_address, settings.seed_addresses)
         self.budgets: dict[str, RepeatBudget] = {}
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from plantainsail.entry import deaths
 from plantainsail.entry.dialect import read_counts, read_number
 from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.generation import (
@@ -70,6 +71,12 @@
     async def forward(self, request: RoutedRequest) -> None:
         """Answer a request."""
         node = self.node
+        fingerprint = deaths.fingerprint_of(request)
+        suspect = node.quarantine.find(fingerprint, node.now_s())
+        if suspect is not None and suspect.is_quarantined:
+            failure = Failure(Code.QUARANTINED, "engines died under it")
+            await self._refuse(request, failure)
+            return
         need = need_of(request, node)
         node.budget_of(request.service.name).note_request(node.now_s())
         refusals = 0
@@ -125,6 +132,7 @@
             self._log_end(generation, "route timeout")
         except (LostError, CutShortError) as error:
             self._log_end(generation, str(error))
+            self._look_for_death(generation)
             if not request.caller.is_started:
                 failure = Failure(Code.UPSTREAM_TRUNCATED, str(error))
                 await self._refuse(request, failure)
@@ -139,6 +147,38 @@
         finally:
             mute.cancel()
 
+    def _look_for_death(self, generation: Generation) -> None:
+        """Note a death if the engine that cut the stream is gone."""
+        upstream = generation.upstream
+        assert upstream is not None
+        if upstream.identifier in self.node.registry.departures:
+            return
+        task = asyncio.create_task(
+            self._note_if_dead(generation.request, upstream)
+        )
+        self.questions.add(task)
+        task.add_done_callback(self.questions.discard)
+
+    async def _note_if_dead(
+        self, request: RoutedRequest, upstream: RoutedUpstream
+    ) -> None:
+        if not await deaths.has_died(upstream):
+            return
+        node = self.node
+        now_s = node.now_s()
+        node.registry.note_failure(upstream.identifier, now_s)
+        node.quarantine.note_death(
+            deaths.fingerprint_of(request),
+            f"{upstream.identifier}/{upstream.born_ms}",
+            request.arrived_s,
+            now_s,
+        )
+        node.log.warning(
+            "engine died",
+            request=request.identifier,
+            upstream=upstream.identifier,
+        )
+
     def _note_mute(self, upstream: str) -> None:
         self.node.registry.note_failure(upstream, self.node.now_s())
         self.node.log.warning("engine mute", upstream=upstream)
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -6,8 +6,11 @@
 import pytest
 
 from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.entry.deaths import take_told, to_tell
 from plantainsail.entry.mover import CopyEnd, EngineWord
+from plantainsail.policy.quarantine import Quarantine
 from plantainsail.routing.evacuation import USUAL_NOTICE_S
+from plantainsail.routing.members import ToldSuspect
 from tests.standins.routed import (
     NOT_EXECUTED,
     STREAM_END,
@@ -431,3 +434,48 @@
 
 def test_the_usual_notice_is_less_than_any_seen() -> None:
     assert USUAL_NOTICE_S <= 1.54
+
+
+async def test_a_request_under_which_engines_died_is_refused(
+    world: MakeWorld,
+) -> None:
+    """Its caller sends it again, with another id, to any daemon."""
+    here: World
+
+    async def die(_: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        for upstream in here.upstreams:
+            upstream.stop()
+        reset(writer)
+
+    here = await world(die)
+    quarantine = here.daemon.node.quarantine
+    body = b"the prompt that kills"
+    await here.caller.call("/stream/x", HEADERS, body)
+    await until(lambda: len(quarantine.suspects) == 1)
+    (suspect,) = quarantine.suspects.values()
+    told = ToldSuspect(suspect.fingerprint, ("another/1",), 100)
+    take_told(quarantine, (told,), here.daemon.node.now_s())
+    again = HEADERS | {"plantainsail-request-id": "r2"}
+    got = await here.caller.call("/stream/x", again, body)
+    assert got.status == 422
+    assert got.headers["plantainsail-outcome"] == "not_run"
+    other = await here.caller.call("/stream/x", again, b"another prompt")
+    assert other.status != 422
+
+
+async def test_an_engine_that_only_cut_its_answer_did_not_die(
+    world: MakeWorld,
+) -> None:
+    here = await world()
+    here.engines.break_at = 3
+    await here.stream()
+    await until(lambda: not here.daemon.stream.questions)
+    assert here.daemon.node.quarantine.suspects == {}
+
+
+def test_suspects_are_told_for_a_while() -> None:
+    quarantine = Quarantine()
+    quarantine.note_death(7, "e1/1", 0.0, 10.0)
+    (told,) = to_tell(quarantine, 12.0)
+    assert (told.fingerprint, told.deaths, told.age_ms) == (7, ("e1/1",), 2000)
+    assert to_tell(quarantine, 30.0) == ()
