--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -286,7 +286,8 @@
         result = "answered" if outcome == "whole" else "cut"
         node.metrics.requests.labels(kind, result).inc()
         first_s = generation.first_event_s - request.arrived_s
-        if generation.has_begun:
+        has_begun = generation.has_begun
+        if has_begun:
             node.metrics.latency.labels(kind).observe(first_s)
         upstream = generation.upstream
         node.log.info(
@@ -296,7 +297,7 @@
             upstream=None if upstream is None else upstream.identifier,
             events=generation.positions.count,
             moves=generation.legs,
-            first_event_ms=int(first_s * 1000),
+            first_event_ms=int(first_s * 1000) if has_begun else None,
             longest_pause_ms=int(generation.longest_pause_s * 1000),
             after_ms=int((node.now_s() - request.arrived_s) * 1000),
         )
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -12,6 +12,7 @@
 import h11
 
 READ_BYTES = 65_536
+CLOSED_EARLY = "connection closed early"
 MAX_HEAD_BYTES = 65_536
 # Keep-alive probes show a connection that went silent for good.
 KEEPALIVE_IDLE_S = 2
@@ -113,14 +114,20 @@
         raise CutShortError("the answer was cut short")
 
     async def _next_event(self) -> object:
+        is_closed = False
         while True:
             try:
                 event = self.http.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.http.receive_data(await self.reader.read(READ_BYTES))
-            except (h11.ProtocolError, OSError) as error:
-                raise CutShortError(str(error)) from error
+                data = await self.reader.read(READ_BYTES)
+                is_closed = not data
+                self.http.receive_data(data)
+            except h11.ProtocolError as error:
+                problem = CLOSED_EARLY if is_closed else "not HTTP"
+                raise CutShortError(problem) from error
+            except OSError as error:
+                raise CutShortError("connection reset") from error
 
     def abort(self) -> None:
         """Close at once; the upstream stops working on it."""
