--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -97,9 +97,10 @@
     def tell_change(self, change: ListChange) -> None:
         """Tell all daemons of entries that changed."""
         assert self.transport is not None
-        live = self.node.members.live(self.node.now_s())
-        if len(live) < ALL_WATCH_FLEET:
+        now_s = self.node.now_s()
+        if not self.node.members.is_teller(now_s):
             return
+        live = self.node.members.live(now_s)
         data = CHANGE_MARK + ENCODER.encode(change)
         if len(data) > MAX_CHANGE_BYTES:
             return
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -10,7 +10,7 @@
 LIVE_S = 1.6
 FORGET_S = 20.0
 BEHIND_S = 0.12
-BEHIND_UPSTREAMS_S = 0.6
+BEHIND_UPSTREAMS_S = 0.3
 # Up to this many addresses all are told, of more only some: heartbeats
 # are the larger part of what a large fleet sends.
 MAX_TOLD_MEMBERS = 12
@@ -186,6 +186,14 @@
             return True
         return self.rank(now_s) < WATCHERS
 
+    def is_teller(self, now_s: float) -> bool:
+        """Return whether this daemon tells the others what changed.
+
+        Also where all watch: the service may refuse some of them, and
+        an engine that leaves gives little time.
+        """
+        return self.rank(now_s) < WATCHERS
+
     def ahead_of(self, version: int, revision: int) -> list[Member]:
         """Return the members that have what this daemon lacks."""
         found: list[Member] = []
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -184,3 +184,28 @@
     tell(revision + 1, revision + 4, removed=("u1",))
     assert not registry.is_usable("u1")
     assert registry.revision == revision + 4
+
+
+async def test_a_departure_is_told_at_once(pair: Pair) -> None:
+    """Found by an incident.
+
+    A daemon that the service refused learned of engines' leaving
+    0.64 s later than the others.
+    """
+    told: list[ListChange] = []
+    daemon = pair.daemons[0]
+    tell = daemon.feed.tell_change
+
+    def record(change: ListChange) -> None:
+        told.append(change)
+        tell(change)
+
+    daemon.feed.tell_change = record
+    pair.sources[1].go_down()
+    registry = pair.daemons[1].node.registry
+    fetched = pair.daemons[1].gossip.fetching
+    upstream = pair.sources[0].upstreams["u0"]
+    pair.sources[0].put(upstream._replace(is_draining=True))
+    await until(lambda: not registry.is_usable("u0"))
+    assert [one.written[0].is_draining for one in told] == [True]
+    assert pair.daemons[1].gossip.fetching is fetched
