Tell plain requests by heartbeats only

Cause: of the messages of a large fleet two in three told of plain requests that were over before they arrived.

--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -177,16 +177,14 @@
         is_idempotent = request.route.kind is RequestKind.IDEMPOTENT
         if is_idempotent and attempts + 1 < request.route.max_attempts:
             left_s *= PATIENCE_PART
-        node.picture.add(upstream.identifier, ONE_RUNNING)
-        node.load_changed.set()
+        node.picture.add_brief(upstream.identifier, ONE_RUNNING)
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 sent = await self._exchange(request, upstream)
         except TimeoutError:
             sent = Sent(Ending.FAILED, reason="timeout")
         finally:
-            node.picture.subtract(upstream.identifier, ONE_RUNNING)
-            node.load_changed.set()
+            node.picture.subtract_brief(upstream.identifier, ONE_RUNNING)
         if sent.ending is Ending.ANSWERED and sent.status < SERVER_ERROR:
             node.registry.note_success(upstream.identifier)
         elif sent.reason != "refused":
--- a/src/plantainsail/routing/picture.py
+++ b/src/plantainsail/routing/picture.py
@@ -55,18 +55,26 @@
         self.changed: set[str] = set()
 
     def add(self, identifier: str, load: UpstreamLoad) -> None:
-        """Add own work on an upstream."""
-        self.own[identifier] = self.own.get(identifier, NO_LOAD).plus(load)
+        """Add own work on an upstream, to be told at once."""
+        self.add_brief(identifier, load)
         self.changed.add(identifier)
 
     def subtract(self, identifier: str, load: UpstreamLoad) -> None:
-        """Take own work off again."""
+        """Take own work off again, to be told at once."""
+        self.subtract_brief(identifier, load)
+        self.changed.add(identifier)
+
+    def add_brief(self, identifier: str, load: UpstreamLoad) -> None:
+        """Add work that ends before it is worth telling at once."""
+        self.own[identifier] = self.own.get(identifier, NO_LOAD).plus(load)
+
+    def subtract_brief(self, identifier: str, load: UpstreamLoad) -> None:
+        """Take brief work off again."""
         left = self.own.get(identifier, NO_LOAD).minus(load)
         if left == NO_LOAD:
             self.own.pop(identifier, None)
         else:
             self.own[identifier] = left
-        self.changed.add(identifier)
 
     def take_changed(self) -> dict[str, UpstreamLoad]:
         """Return own loads that peers haven't been told yet."""
--- a/tests/test_routing_picture.py
+++ b/tests/test_routing_picture.py
@@ -58,6 +58,15 @@
     assert picture.own == {}
 
 
+def test_brief_work_is_told_by_heartbeats_only() -> None:
+    picture = LoadPicture()
+    picture.add_brief("a", ONE)
+    assert picture.take_changed() == {}
+    assert picture.own == {"a": ONE}
+    picture.subtract_brief("a", ONE)
+    assert picture.own == {}
+
+
 def test_a_peer_that_began_anew_has_no_load() -> None:
     picture = LoadPicture()
     picture.hear("peer", {"a": ONE}, 0.0, is_whole=True)
