Add a randomized fault soak of entry daemons as processes

A loopback proxy delays, resets, silences and cuts one way between daemons and upstreams; processes are killed, stopped, ended and hung up on; keys and upstreams come and go.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak of real entry daemons on one machine."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,39 @@
+"""The soak's command line."""
+
+import argparse
+import asyncio
+import sys
+import time
+
+from soak.run import play_seed
+
+
+def main() -> int:
+    """Play seeds one after the other; 1 if any of them failed."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seed", type=int, help="the first (default: fresh)")
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--daemons", type=int, default=4)
+    options = parser.parse_args()
+    first = options.seed
+    if first is None:
+        first = time.time_ns() % 1_000_000
+    failed = 0
+    for seed in range(first, first + options.seeds):
+        verdict = asyncio.run(
+            play_seed(seed, options.seconds, options.daemons)
+        )
+        failed += bool(verdict.problems)
+        print(
+            f"seed {seed}: {verdict.attempts} attempts, "
+            f"{verdict.answered} answered, {dict(verdict.faults)}"
+        )
+        for problem in verdict.problems[:10]:
+            print(f"  {problem}")
+    print(f"{options.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/caller.py
@@ -0,0 +1,71 @@
+"""Callers of the soak, which note exactly what they got."""
+
+import asyncio
+
+from plantainsail.api.responses import OUTCOME_HEADER
+
+PATIENCE_S = 6.0
+
+
+class Attempt:
+    """One attempt of a caller and what came of it."""
+
+    def __init__(
+        self, request: str, kind: str, key: str, sent_s: float
+    ) -> None:
+        self.request = request
+        self.kind = kind
+        self.key = key
+        self.sent_s = sent_s
+        self.body = f"body of {request}".encode()
+        self.status = 0
+        self.answer = b""
+        self.is_whole = False
+        self.is_not_run = False
+
+
+async def call(address: str, attempt: Attempt) -> None:
+    """Make the attempt; a failure leaves the status 0."""
+    ip, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            reader, writer = await asyncio.open_connection(ip, int(port))
+            try:
+                writer.write(_request(attempt))
+                await _read(reader, attempt)
+            finally:
+                writer.close()
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        # What was read before stays noted.
+        return
+
+
+def _request(attempt: Attempt) -> bytes:
+    return (
+        f"POST /{attempt.kind}/x HTTP/1.1\r\nhost: example.org\r\n"
+        f"plantainsail-request-id: {attempt.request}\r\n"
+        f"authorization: Bearer {attempt.key}\r\n"
+        f"content-length: {len(attempt.body)}\r\n\r\n"
+    ).encode() + attempt.body
+
+
+async def _read(reader: asyncio.StreamReader, attempt: Attempt) -> None:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+    attempt.status = int(head.split(" ")[1])
+    attempt.is_not_run = f"{OUTCOME_HEADER.lower()}: not_run" in head
+    if "transfer-encoding: chunked" in head:
+        await _read_chunks(reader, attempt)
+        return
+    length = int(head.partition("content-length: ")[2].split("\r")[0])
+    attempt.answer = await reader.readexactly(length)
+    attempt.is_whole = True
+
+
+async def _read_chunks(reader: asyncio.StreamReader, attempt: Attempt) -> None:
+    while True:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        data = await reader.readexactly(size + 2)
+        if size == 0:
+            attempt.is_whole = True
+            return
+        attempt.answer += data[:-2]
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,102 @@
+"""Entry daemons as processes, started and ended by their ids."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from plantainsail.entry.settings import EntrySettings
+
+START_S = 20.0
+GRACE_S = 3.0
+
+
+def free_port() -> int:
+    """Return a port that nobody uses at the moment."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class SoakDaemon:
+    """One daemon process, which may be stopped and killed."""
+
+    def __init__(self, number: int, directory: Path, seeds: list[str]) -> None:
+        self.settings_file = directory / f"entry-{number}.json"
+        self.log_file = directory / f"entry-{number}.log"
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.readiness = f"127.0.0.1:{free_port()}"
+        self.peer = seeds[number]
+        settings = EntrySettings(
+            host=f"entry-{number}",
+            availability_zone="abc"[number % 3],
+            caller_address=self.callers,
+            readiness_address=self.readiness,
+            peer_address=self.peer,
+            seed_addresses=tuple(seeds[:3]),
+            published_file=str(directory / "published.json"),
+        )
+        fields: dict[str, Any] = settings._asdict()
+        fields["bounds"] = settings.bounds._replace(grace_s=GRACE_S)._asdict()
+        fields = {k: v for k, v in fields.items() if v is not None}
+        self.settings_file.write_text(json.dumps(fields))
+        self.process: asyncio.subprocess.Process | None = None
+        self.is_stopped = False
+
+    async def start(self) -> None:
+        """Start the process; return once it is ready."""
+        with self.log_file.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "plantainsail.entry.program",
+                "--settings",
+                str(self.settings_file),
+                env=os.environ | {"PYTHONPATH": "src"},
+                stdout=log,
+                stderr=log,
+            )
+        async with asyncio.timeout(START_S):
+            while not await self.is_ready():  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self) -> bool:
+        """Return whether it says that it is ready."""
+        ip, _, port = self.readiness.rpartition(":")
+        try:
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(ip, int(port))
+                writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return b" 200 " in line
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process lives and isn't stopped."""
+        process = self.process
+        if process is None or self.is_stopped:
+            return False
+        return process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process."""
+        if self.process is None or self.process.returncode is not None:
+            return
+        self.is_stopped = number == signal.SIGSTOP
+        self.process.send_signal(number)
+
+    async def end(self) -> None:
+        """Kill the process if it still runs."""
+        if self.process is None:
+            return
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,110 @@
+"""A loopback proxy that delays, resets, silences and cuts one way."""
+
+import asyncio
+from enum import Enum
+
+READ_BYTES = 65_536
+
+
+class Fault(Enum):
+    """What the proxy does to the connections that it carries."""
+
+    NONE = "none"
+    DELAYED = "delayed"
+    RESET = "reset"
+    NO_ANSWERS = "no_answers"
+    NO_REQUESTS = "no_requests"
+    SILENT = "silent"
+
+
+DELAY_S = 0.15
+
+
+class FaultyLink:
+    """Carries connections to one address, with a fault at times."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.fault = Fault.NONE
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.address = ""
+
+    async def start(self) -> str:
+        """Listen; return the address to connect to."""
+        self.server = await asyncio.start_server(self._carry, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    def set_fault(self, fault: Fault) -> None:
+        """Put a fault on all connections, those that are open too."""
+        self.fault = fault
+        if fault is Fault.RESET:
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    def stop(self) -> None:
+        """Carry nothing more."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.writers.add(writer)
+        ip, _, port = self.target.rpartition(":")
+        try:
+            if self.fault is Fault.RESET:
+                raise ConnectionResetError
+            there = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            self.writers.discard(writer)
+            writer.transport.abort()
+            return
+        self.writers.add(there[1])
+        pumps = (
+            asyncio.create_task(self._pump(reader, there[1], is_request=True)),
+            asyncio.create_task(
+                self._pump(there[0], writer, is_request=False)
+            ),
+        )
+        await asyncio.gather(*pumps)
+        for one in (writer, there[1]):
+            self.writers.discard(one)
+            one.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_request: bool,
+    ) -> None:
+        try:
+            while data := await reader.read(READ_BYTES):
+                await self._hold(is_request=is_request)
+                writer.write(data)
+                await writer.drain()
+            # One that was cut short must not look ended in order.
+            if self.fault is Fault.RESET:
+                writer.transport.abort()
+            elif writer.can_write_eof():
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            writer.transport.abort()
+
+    async def _hold(self, *, is_request: bool) -> None:
+        if self.fault is Fault.DELAYED:
+            await asyncio.sleep(DELAY_S)
+        while self._is_held(is_request=is_request):  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+    def _is_held(self, *, is_request: bool) -> bool:
+        if self.fault is Fault.SILENT:
+            return True
+        if self.fault is Fault.NO_REQUESTS:
+            return is_request
+        return self.fault is Fault.NO_ANSWERS and not is_request
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,327 @@
+"""Plays one seed: load, faults from outside, and the promises.
+
+    python -m soak --seed 7 --seconds 20
+
+Checked from what callers got and upstreams ran: an answer is whole and
+its own; a request that may run once runs once at most; what was said
+not to have run did not run; no key that was taken away long ago works;
+and once all faults are over, requests are served again.
+"""
+
+import asyncio
+import json
+import random
+import signal
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from soak.caller import Attempt, call
+from soak.fleet import SoakDaemon, free_port
+from soak.proxy import Fault, FaultyLink
+from soak.upstreams import SoakUpstream, times_run, whole_stream
+
+CALLS_A_SECOND = 40.0
+FAULT_EVERY_S = 0.7
+RECOVERY_S = 12.0
+# Files are read every 0.2 s; beyond this no old key may work.
+REVOKED_S = 3.0
+KINDS = ("safe", "once", "stream")
+
+
+class Verdict(NamedTuple):
+    """What one seed showed; `problems` is empty where all held."""
+
+    seed: int
+    attempts: int
+    answered: int
+    faults: Counter[str]
+    problems: list[str]
+
+
+class Soak:
+    """One seed's fleet, load and faults."""
+
+    def __init__(self, seed: int, daemons: int, directory: Path) -> None:
+        self.seed = seed
+        self.source = random.Random(seed)
+        self.directory = directory
+        seeds = [f"127.0.0.1:{free_port()}" for _ in range(daemons)]
+        self.daemons = [
+            SoakDaemon(number, directory, seeds) for number in range(daemons)
+        ]
+        self.upstreams = [
+            SoakUpstream(f"u{n}", random.Random(seed * 100 + n))
+            for n in range(4)
+        ]
+        self.links: list[FaultyLink] = []
+        self.version = 0
+        self.keys = {"key-0": "desk"}
+        self.revoked_s: dict[str, float] = {}
+        self.draining: set[str] = set()
+        self.attempts: list[Attempt] = []
+        self.faults: Counter[str] = Counter()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.is_over = False
+
+    async def play(self, seconds: float) -> Verdict:
+        """Run the seed and judge it."""
+        try:
+            await self._start()
+            load = asyncio.create_task(self._load())
+            faults = asyncio.create_task(self._break(seconds))
+            await faults
+            await self._mend()
+            before = len(self.attempts)
+            await asyncio.sleep(4.0)
+            self.is_over = True
+            await load
+            await asyncio.gather(*self.tasks)
+            return self._judge(before)
+        finally:
+            await self._stop()
+
+    async def _start(self) -> None:
+        for upstream in self.upstreams:
+            await upstream.start()
+            link = FaultyLink(upstream.address)
+            await link.start()
+            self.links.append(link)
+        self._publish()
+        await asyncio.gather(*(one.start() for one in self.daemons))
+
+    async def _stop(self) -> None:
+        await asyncio.gather(*(one.end() for one in self.daemons))
+        for link in self.links:
+            link.stop()
+        for upstream in self.upstreams:
+            upstream.stop()
+
+    def _publish(self) -> None:
+        self.version += 1
+        names: dict[str, list[str]] = {}
+        for key, organisation in self.keys.items():
+            names.setdefault(organisation, []).append(key)
+        value: dict[str, Any] = {
+            "version": self.version,
+            "routes": [_route(kind) for kind in KINDS],
+            "services": [{"name": "service"}],
+            "organisations": [
+                {"name": name, "keys": keys} for name, keys in names.items()
+            ],
+            "upstreams": [
+                {
+                    "identifier": upstream.name,
+                    "service": "service",
+                    "address": link.address,
+                    "availability_zone": "a",
+                    "slots": 8,
+                    "is_draining": upstream.name in self.draining,
+                }
+                for upstream, link in zip(
+                    self.upstreams, self.links, strict=True
+                )
+            ],
+        }
+        fresh = self.directory / "published.new"
+        fresh.write_text(json.dumps(value))
+        fresh.replace(self.directory / "published.json")
+
+    async def _load(self) -> None:
+        number = 0
+        while not self.is_over:
+            number += 1
+            attempt = Attempt(
+                f"r{self.seed}-{number}",
+                self.source.choice(KINDS),
+                self.source.choice([*self.keys, *self.revoked_s]),
+                asyncio.get_running_loop().time(),
+            )
+            self.attempts.append(attempt)
+            daemon = self.source.choice(self.daemons)
+            task = asyncio.create_task(call(daemon.callers, attempt))
+            self.tasks.add(task)
+            await asyncio.sleep(self.source.expovariate(CALLS_A_SECOND))
+
+    async def _break(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        while loop.time() < end_s:
+            self._inject()
+            await asyncio.sleep(self.source.expovariate(1 / FAULT_EVERY_S))
+
+    def _inject(self) -> None:
+        name = self.source.choice(
+            ["link", "link", "odd", "keys", "drain", "signal", "signal"]
+        )
+        if name == "link":
+            fault = self.source.choice(list(Fault))
+            self.source.choice(self.links).set_fault(fault)
+            name = f"link {fault.value}"
+        elif name == "odd":
+            share = self.source.choice([0.0, 0.2, 0.6])
+            self.source.choice(self.upstreams).odd_share = share
+        elif name == "keys":
+            self._change_keys()
+        elif name == "drain":
+            one = self.source.choice(self.upstreams).name
+            self.draining ^= {one}
+            if len(self.draining) == len(self.upstreams):
+                self.draining.clear()
+            self._publish()
+        else:
+            name = self._signal()
+        self.faults[name] += 1
+
+    def _change_keys(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if len(self.keys) > 1 and self.source.random() < 0.5:
+            key = self.source.choice(list(self.keys)[:-1])
+            del self.keys[key]
+            self.revoked_s[key] = now_s
+        else:
+            self.keys[f"key-{self.version}"] = f"org-{self.version % 3}"
+        self._publish()
+
+    def _signal(self) -> str:
+        daemon = self.source.choice(self.daemons)
+        number = self.source.choice(
+            [signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP, signal.SIGHUP]
+        )
+        if number is signal.SIGHUP and daemon.is_stopped:
+            number = signal.SIGCONT
+        daemon.send(number)
+        if number is signal.SIGSTOP:
+            self._later(daemon, self.source.uniform(0.2, 4.0))
+        elif number is not signal.SIGHUP:
+            self._later(daemon, self.source.uniform(0.1, 5.0))
+        return number.name
+
+    def _later(self, daemon: SoakDaemon, after_s: float) -> None:
+        task = asyncio.create_task(self._bring_back(daemon, after_s))
+        self.tasks.add(task)
+
+    async def _bring_back(self, daemon: SoakDaemon, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        if daemon.is_stopped:
+            daemon.send(signal.SIGCONT)
+        if daemon.process is None or daemon.process.returncode is None:
+            return
+        if not self.is_over:
+            await self._start_again(daemon)
+
+    async def _start_again(self, daemon: SoakDaemon) -> None:
+        daemon.is_stopped = False
+        try:
+            await daemon.start()
+        except TimeoutError:
+            # Another signal came before it was ready.
+            self.faults["killed at its start"] += 1
+
+    async def _mend(self) -> None:
+        for link in self.links:
+            link.set_fault(Fault.NONE)
+        for upstream in self.upstreams:
+            upstream.odd_share = 0.0
+        self.draining.clear()
+        self._publish()
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + RECOVERY_S
+        while loop.time() < end_s:
+            for daemon in self.daemons:
+                if daemon.is_stopped:
+                    daemon.send(signal.SIGCONT)
+                process = daemon.process
+                if process is not None and process.returncode is not None:
+                    await self._start_again(daemon)
+            ready = [await one.is_ready() for one in self.daemons]
+            if all(ready):
+                return
+            await asyncio.sleep(0.2)
+
+    def _judge(self, mended_at: int) -> Verdict:
+        problems: list[str] = []
+        runs = times_run(self.upstreams)
+        for attempt in self.attempts:
+            problems += self.judge_attempt(attempt, runs[attempt.request])
+        organisations = {
+            run.request: run for one in self.upstreams for run in one.runs
+        }
+        for attempt in self.attempts:
+            run = organisations.get(attempt.request)
+            if run is not None and run.body != attempt.body:
+                problems.append(f"{attempt.request}: another body ran")
+        after = self.attempts[mended_at:]
+        live = [one for one in after if one.key in self.keys]
+        served = sum(one.status == 200 for one in live)
+        if served < 0.9 * len(live):
+            problems.append(f"only {served} of {len(live)} served once mended")
+        answered = sum(one.status == 200 for one in self.attempts)
+        return Verdict(
+            self.seed, len(self.attempts), answered, self.faults, problems
+        )
+
+    def judge_attempt(self, attempt: Attempt, runs: int) -> list[str]:
+        """Return what is wrong with an attempt that ran so often."""
+        found: list[str] = []
+        if attempt.kind != "safe" and runs > 1:
+            found.append(f"{attempt.request}: ran {runs} times")
+        if attempt.is_not_run and runs and attempt.kind != "safe":
+            found.append(f"{attempt.request}: said not to have run, and ran")
+        if attempt.status == 200 and attempt.is_whole:
+            expected = attempt.request.encode()
+            if attempt.kind == "stream":
+                expected = whole_stream(attempt.request)
+            if attempt.answer != expected:
+                found.append(f"{attempt.request}: an answer of another")
+        elif attempt.status == 200 and not _is_beginning(attempt):
+            found.append(f"{attempt.request}: a stream out of order")
+        gone_s = self.revoked_s.get(attempt.key)
+        if gone_s is not None and runs:
+            late_s = attempt.sent_s - gone_s
+            if late_s > REVOKED_S + 5.0:
+                found.append(f"{attempt.request}: key gone {late_s:.1f} s ago")
+        return found
+
+
+def _is_beginning(attempt: Attempt) -> bool:
+    """Return whether a cut answer is the beginning of the right one."""
+    expected = attempt.request.encode()
+    if attempt.kind == "stream":
+        expected = whole_stream(attempt.request)
+    return expected.startswith(attempt.answer)
+
+
+def _route(kind: str) -> dict[str, Any]:
+    kinds = {
+        "safe": "idempotent",
+        "once": "non_idempotent",
+        "stream": "streaming",
+    }
+    return {
+        "name": kind,
+        "host": "example.org",
+        "path_prefix": f"/{kind}/",
+        "kind": kinds[kind],
+        "services": [{"service": "service", "weight": 1}],
+        "timeout_s": 4,
+        "objective_s": 0.5,
+        "max_attempts": 2 if kind == "safe" else 1,
+    }
+
+
+async def play_seed(seed: int, seconds: float, daemons: int) -> Verdict:
+    """Play one seed in a directory of its own."""
+    with tempfile.TemporaryDirectory() as directory:
+        verdict = await Soak(seed, daemons, Path(directory)).play(seconds)
+        if verdict.problems:
+            _keep_logs(seed, Path(directory))
+        return verdict
+
+
+def _keep_logs(seed: int, directory: Path) -> None:
+    kept = Path("report") / f"soak-{seed}"
+    kept.mkdir(parents=True, exist_ok=True)
+    for file in directory.glob("*.log"):
+        (kept / file.name).write_bytes(file.read_bytes())
--- /dev/null
+++ b/soak/upstreams.py
@@ -0,0 +1,141 @@
+"""Upstreams that know what ran, and what they answered."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import NamedTuple
+
+from plantainsail.entry.dialect import Dialect
+
+DIALECT = Dialect()
+EVENTS = 12
+EVENT_PAUSE_S = 0.03
+WORK_S = 0.03
+
+
+class Ran(NamedTuple):
+    """One run of a request at an upstream."""
+
+    upstream: str
+    request: str
+    organisation: str
+    body: bytes
+
+
+class SoakUpstream:
+    """Serves plain requests and streams; some fail in odd ways."""
+
+    def __init__(self, name: str, source: random.Random) -> None:
+        self.name = name
+        self.source = source
+        self.runs: list[Ran] = []
+        self.server: asyncio.Server | None = None
+        self.address = ""
+        self.odd_share = 0.0
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Accept nothing more."""
+        if self.server is not None:
+            self.server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            headers = dict(_header_lines(head))
+            length = int(headers.get("content-length", "0"))
+            body = await reader.readexactly(length)
+            await self._answer(head.split(" ")[1], headers, body, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            # The daemon left; whoever asked it knows.
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(
+        self,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if headers.get(DIALECT.expected_upstream.decode()) != self.name:
+            writer.write(b"HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n")
+            return
+        odd = self.source.random()
+        if odd < self.odd_share / 3:
+            name = DIALECT.not_executed.decode()
+            writer.write(
+                f"HTTP/1.1 503 Full\r\n{name}: 1\r\n"
+                "content-length: 0\r\n\r\n".encode()
+            )
+            return
+        request = headers[DIALECT.request_id.decode()]
+        organisation = headers.get(DIALECT.organisation.decode(), "")
+        self.runs.append(Ran(self.name, request, organisation, body))
+        if odd < 2 * self.odd_share / 3:
+            writer.transport.abort()
+            return
+        if path.startswith("/stream/"):
+            await self._stream(request, writer, is_cut=odd < self.odd_share)
+            return
+        await asyncio.sleep(WORK_S * self.source.random())
+        writer.write(_head(request, f"content-length: {len(request)}"))
+        writer.write(request.encode())
+        await writer.drain()
+
+    async def _stream(
+        self, request: str, writer: asyncio.StreamWriter, *, is_cut: bool
+    ) -> None:
+        writer.write(_head(request, "transfer-encoding: chunked"))
+        for number in range(EVENTS):
+            data = event(request, number)
+            if is_cut and number == EVENTS // 2:
+                writer.write(b"%x\r\n%b" % (len(data), data[:7]))
+                writer.transport.abort()
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S * self.source.random())
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+def event(request: str, number: int) -> bytes:
+    """Return one event of a request's stream."""
+    return f"id: {number}\ndata: {request} {number}\n\n".encode()
+
+
+def whole_stream(request: str) -> bytes:
+    """Return a request's whole stream."""
+    return b"".join(event(request, number) for number in range(EVENTS))
+
+
+def times_run(upstreams: list[SoakUpstream]) -> Counter[str]:
+    """Return how often each request ran."""
+    return Counter(run.request for one in upstreams for run in one.runs)
+
+
+def _head(request: str, framing: str) -> bytes:
+    signature = DIALECT.signature.decode()
+    name = DIALECT.request_id.decode()
+    return (
+        f"HTTP/1.1 200 OK\r\n{signature}: signed\r\n{name}: {request}\r\n"
+        f"{framing}\r\n\r\n".encode()
+    )
+
+
+def _header_lines(head: str) -> list[tuple[str, str]]:
+    pairs: list[tuple[str, str]] = []
+    for line in head.split("\r\n")[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            pairs.append((name.lower(), value.strip()))
+    return pairs
