--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -150,7 +150,6 @@
                 )
             self.node.note_departures(departures)
         if changes.upstreams:
-            self.node.load_changed.set()
             self._tell(after, changes)
 
     def _tell(self, after: int, changes: Changes) -> None:
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -19,6 +19,7 @@
     ListChange,
     LoadEntry,
     Member,
+    ToldSuspect,
 )
 from plantainsail.routing.picture import UpstreamLoad
 from plantainsail.settings import split_address
@@ -91,8 +92,9 @@
 
     def announce(self) -> None:
         """Tell all daemons at once, as when this one leaves."""
+        message = self._message(self._all_loads(), is_whole=True)
         for member in list(self.node.members.members.values()):
-            self._send(member, self._all_loads(), is_whole=True)
+            self._send(member, message)
 
     def tell_change(self, change: ListChange) -> None:
         """Tell all daemons of entries that changed."""
@@ -119,7 +121,6 @@
         for identifier in change.removed:
             departures += registry.remove(identifier, change.revision, now_s)
         self.node.note_departures(departures)
-        self.node.load_changed.set()
 
     def _greet(self, member: Member) -> None:
         """Answer a daemon at once that is new or began anew.
@@ -128,22 +129,23 @@
         milliseconds, and don't all fill the same engine meanwhile.
         """
         self.node.picture.forget(member.address)
-        self._send(member, self._all_loads(), is_whole=True)
+        message = self._message(self._all_loads(), is_whole=True)
+        self._send(member, message)
         for other in list(self.node.members.members.values()):
             if other.heard_s is None:
-                self._send(other, self._all_loads(), is_whole=True)
+                self._send(other, message)
 
     async def _send_heartbeats(self) -> None:
         while True:
             now_s = self.node.now_s()
             self._note_liveness(now_s)
             self.rounds += 1
-            loads = self._all_loads()
+            message = self._message(self._all_loads(), is_whole=True)
             for member in list(self.node.members.members.values()):
                 is_silent = member.address not in self.live
                 if is_silent and self.rounds % SILENT_SEED_EVERY:
                     continue
-                self._send(member, loads, is_whole=True)
+                self._send(member, message)
             pause_s = max(HEARTBEAT_S, len(self.live) / HEARTBEATS_A_SECOND)
             await asyncio.sleep(pause_s)
 
@@ -159,8 +161,9 @@
                 LoadEntry(identifier, load)
                 for identifier, load in changed.items()
             )
+            message = self._message(loads, is_whole=False)
             for member in self.node.members.live(self.node.now_s()):
-                self._send(member, loads, is_whole=False)
+                self._send(member, message)
 
     def _all_loads(self) -> tuple[LoadEntry, ...]:
         paces = self.node.paces.own(self.node.now_s())
@@ -178,36 +181,45 @@
             )
         return tuple(found)
 
-    def _send(
-        self, member: Member, loads: tuple[LoadEntry, ...], *, is_whole: bool
-    ) -> None:
-        assert self.transport is not None
+    def _message(
+        self, loads: tuple[LoadEntry, ...], *, is_whole: bool
+    ) -> Heartbeat:
+        """Return a message without what concerns one receiver only."""
         node = self.node
         now_s = node.now_s()
         age_s = node.in_force.age_s(now_s)
-        self.sequence += 1
-        heartbeat = Heartbeat(
+        suspects: tuple[ToldSuspect, ...] = ()
+        members: tuple[str, ...] = ()
+        if is_whole:
+            suspects = deaths.to_tell(node.quarantine, now_s)
+            members = node.members.to_tell(node.random, now_s)
+        return Heartbeat(
             address=node.settings.peer_address,
             nonce=node.nonce,
-            sequence=self.sequence,
+            sequence=0,
             sent_ms=int(now_s * 1000),
-            echo_ms=member.sent_ms,
-            echo_nonce=member.nonce,
+            echo_ms=-1,
+            echo_nonce=0,
             is_leaving=node.is_leaving,
             configuration_version=node.in_force.version,
             configuration_age_ms=-1 if age_s is None else int(age_s * 1000),
             registry_revision=node.registry.revision,
             is_whole=is_whole,
             loads=loads,
-            suspects=(
-                deaths.to_tell(node.quarantine, now_s) if is_whole else ()
-            ),
-            members=(
-                node.members.to_tell(node.random, now_s) if is_whole else ()
-            ),
+            suspects=suspects,
+            members=members,
+        )
+
+    def _send(self, member: Member, message: Heartbeat) -> None:
+        assert self.transport is not None
+        self.sequence += 1
+        addressed = message._replace(
+            sequence=self.sequence,
+            echo_ms=member.sent_ms,
+            echo_nonce=member.nonce,
         )
         self.transport.sendto(
-            ENCODER.encode(heartbeat), split_address(member.address)
+            ENCODER.encode(addressed), split_address(member.address)
         )
 
     def _take(
@@ -226,7 +238,6 @@
         deaths.take_told(node.quarantine, heartbeat.suspects, now_s)
         self._take_freshness(heartbeat)
         self._fetch_if_behind(member, now_s)
-        node.load_changed.set()
 
     def _take_freshness(self, heartbeat: Heartbeat) -> None:
         is_echo = heartbeat.echo_nonce == self.node.nonce
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -45,6 +45,7 @@
         self.is_leaving = False
         self.departed = asyncio.Event()
         self.departures: list[Departure] = []
+        # Set when other daemons should be told of own loads at once.
         self.load_changed = asyncio.Event()
         # Seconds from an engine's notice to its end, by its own word.
         self.notices: dict[str, float] = {}
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -135,7 +135,7 @@
             beats.append(data)
 
     transport, gossip.transport = gossip.transport, Recorder()  # type: ignore[assignment]
-    gossip._send(member, (), is_whole=True)
+    gossip._send(member, gossip._message((), is_whole=True))
     gossip.transport = transport
     assert beats
     beat = DECODER.decode(beats[0])._replace(
