--- a/src/plantainsail/api/streams.py
+++ b/src/plantainsail/api/streams.py
@@ -8,8 +8,8 @@
 from plantainsail.api.commands import node_of, refuse
 from plantainsail.api.event_stream import EventStream, unless_left
 from plantainsail.results import Code, Failure
+from plantainsail.runtime.life_cycle import SURE_STATES
 from plantainsail.runtime.live_streams import Batch
-from plantainsail.runtime.node import SURE_STATES
 from plantainsail.runtime.resumes import ResumedReader, facts_of
 from plantainsail.streams.naming import read_name
 
--- a/src/plantainsail/runtime/list_peers.py
+++ b/src/plantainsail/runtime/list_peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from expression import Result
 
@@ -15,9 +15,7 @@
     fetch_family,
     probe_revision,
 )
-
-if TYPE_CHECKING:
-    from plantainsail.runtime.node import Node
+from plantainsail.runtime.node_core import NodeCore
 
 MAX_ASKED_NEIGHBOURS = 6
 MAX_ASKED_OTHERS = 2
@@ -45,7 +43,7 @@
     `newer` is set when there is a new one.
     """
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: NodeCore) -> None:
         self.node = node
         self.sources: dict[str, None] = {}
         self.newer = asyncio.Event()
--- /dev/null
+++ b/src/plantainsail/runtime/node_core.py
@@ -0,0 +1,157 @@
+"""What the parts of one running daemon stand on."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from plantainsail.clock import Clock
+from plantainsail.identity import Incarnation, draw_incarnation
+from plantainsail.lists.store import ListStore
+from plantainsail.membership.marks import Marks
+from plantainsail.membership.pauses import PauseGuard
+from plantainsail.membership.view import NoPeers, PeerView
+from plantainsail.metrics import Metrics
+from plantainsail.peers.credentials import TlsStore, make_token
+from plantainsail.peers.fleet_service import PartSource
+from plantainsail.peers.links import PeerLinks
+from plantainsail.peers.list_parts import ListParts
+from plantainsail.peers.sections import HeartbeatSection
+from plantainsail.peers.server import Registration
+from plantainsail.peers.suspect_section import SuspectSection
+from plantainsail.policy.hedges import Hedges
+from plantainsail.policy.orders import Orders
+from plantainsail.policy.quarantine import Quarantine
+from plantainsail.policy.retries import RetryBudgets
+from plantainsail.results import Code, Failure
+from plantainsail.runtime.dispatcher import DaemonPlace, Dispatcher
+from plantainsail.runtime.life_cycle import SURE_STATES, LifeCycle
+from plantainsail.runtime.list_freshness import NodeFreshness
+from plantainsail.runtime.live_streams import LiveStreams
+from plantainsail.runtime.running import RunningWork
+from plantainsail.settings import Settings
+from plantainsail.signing import Signer
+from plantainsail.upstreams.engine import HttpEngineClient
+from plantainsail.upstreams.http import make_client, make_pooled_client
+from plantainsail.upstreams.service import HttpServiceClient
+
+
+class NodeCore:
+    """One daemon: its settings, identity, state and clients."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        tls: TlsStore | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random.Random(settings.seed)
+        self.incarnation: Incarnation = draw_incarnation(
+            settings.peer_address, self.random
+        )
+        self.signer = Signer([bytes.fromhex(k) for k in settings.fleet_keys])
+        self.life_cycle = LifeCycle()
+        self.metrics = Metrics()
+        self.store = ListStore()
+        self.tls = tls
+        self.links = PeerLinks(
+            make_token(self.signer, self.incarnation), self.tls
+        )
+        self.marks = Marks()
+        self.running = RunningWork()
+        self.http = make_client()
+        self.pooled_http = make_pooled_client()
+        self.engines = HttpEngineClient(self.http, settings.time_limits)
+        self.services = HttpServiceClient(
+            self.http,
+            self.pooled_http,
+            settings.time_limits.connect_s,
+            settings.limits.answer_bytes,
+        )
+        self.streams = LiveStreams()
+        self.quarantine = Quarantine()
+        self.retries = RetryBudgets()
+        self.hedges = Hedges()
+        # None in a node that no daemon runs.
+        self.orders: Orders | None = None
+        self.background: set[asyncio.Task[None]] = set()
+        self.dispatcher = Dispatcher(
+            self.store,
+            self.random,
+            clock,
+            DaemonPlace(self.incarnation, settings.availability_zone),
+            self.marks,
+            self.metrics,
+        )
+        self.peers: PeerView = NoPeers()
+        # Not any more once the daemon hands its streams over.
+        self.takes_streams = True
+        self.pauses = PauseGuard(clock.now_s())
+        # The daemon sets what begins its drain.
+        self.request_drain: Callable[[], None] = self.life_cycle.drain_now
+        # Parts of the daemon add themselves before it starts.
+        self.sections: list[HeartbeatSection] = [
+            self.dispatcher.heartbeats,
+            SuspectSection(self.quarantine),
+        ]
+        self.registrations: list[Registration] = []
+        self.freshness = NodeFreshness(
+            settings, clock, self.store, self.incarnation
+        )
+        self.list_parts: PartSource | None = ListParts(
+            self.store, self.now_s, self.is_sure
+        )
+
+    def now_s(self) -> float:
+        """Return the daemon's time in seconds."""
+        return self.clock.now_s()
+
+    def unix_s(self) -> float:
+        """Return the host's wall clock in seconds since 1970."""
+        return self.clock.unix_s()
+
+    def is_sure(self) -> bool:
+        """Return whether the daemon may act on what it knows.
+
+        Asked right before each act that a paused daemon must not do:
+        to admit, mint, send, cancel or order.
+        """
+        if self.pauses.slept(self.now_s()):
+            self.life_cycle.paused()
+        return self.life_cycle.state in SURE_STATES
+
+    def find_pause(self) -> Failure | None:
+        """Return the failure of a daemon that must not act yet."""
+        if self.is_sure():
+            return None
+        return Failure(Code.UNSURE, "the daemon was paused", 1.0)
+
+    def find_act_failure(self, revision: int = 0) -> Failure | None:
+        """Return why the daemon must not act now, if it must not.
+
+        Asked right before an act, since what was true when the work
+        was admitted may not be so any more.  `revision` is that of the
+        lists that the work was made under.
+        """
+        pause = self.find_pause()
+        if pause is not None:
+            return pause
+        behind = self.freshness.find_work_failure(revision)
+        return behind or self.freshness.find_failure()
+
+    def keep_task(self, task: asyncio.Task[None]) -> None:
+        """Hold a task that nobody waits for until it is done."""
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def close(self) -> None:
+        """End what runs in the background and close the clients."""
+        tasks = list(self.background)
+        tasks += [s.task for s in self.streams.running() if s.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.links.close()
+        await self.http.aclose()
+        await self.pooled_http.aclose()
--- a/src/plantainsail/runtime/service_calls.py
+++ b/src/plantainsail/runtime/service_calls.py
@@ -19,7 +19,7 @@
     with_exact_outcome,
 )
 from plantainsail.results import Code, Failure
-from plantainsail.runtime.node import Node
+from plantainsail.runtime.node_core import NodeCore
 from plantainsail.upstreams.protocols import ServiceAnswer, ServiceCall
 
 Answer = Result[ServiceAnswer, Failure]
@@ -40,7 +40,7 @@
         return f"{self.service}/{self.operation}"
 
 
-def ready_replicas(node: Node, service: str) -> list[HostEntry]:
+def ready_replicas(node: NodeCore, service: str) -> list[HostEntry]:
     """Return the replicas of a service that take new work."""
     return [
         entry
@@ -51,7 +51,7 @@
     ]
 
 
-async def call_idempotent(node: Node, read: Read) -> Answer:
+async def call_idempotent(node: NodeCore, read: Read) -> Answer:
     """Call an operation that may be repeated, up to its deadline."""
     failures: list[Failure] = []
     used: list[str] = []
@@ -83,7 +83,7 @@
 
 
 async def _refuse_retry(
-    node: Node, read: Read, failures: list[Failure]
+    node: NodeCore, read: Read, failures: list[Failure]
 ) -> Failure | None:
     """Wait for the next attempt, or return why there is none."""
     failure = failures[-1]
@@ -105,7 +105,7 @@
 
 
 async def _call_hedged(
-    node: Node, read: Read, replica: HostEntry, used: list[str]
+    node: NodeCore, read: Read, replica: HostEntry, used: list[str]
 ) -> Answer:
     """Call one replica, and a second one if the first is slow."""
     started_s = node.now_s()
@@ -149,7 +149,7 @@
                 return task
 
 
-async def _call(node: Node, read: Read, replica: HostEntry) -> Answer:
+async def _call(node: NodeCore, read: Read, replica: HostEntry) -> Answer:
     call = ServiceCall(
         request=draw_identifier("req", node.random),
         service=read.service,
@@ -168,7 +168,7 @@
 
 
 def _choose(
-    node: Node, service: str, used: list[str], only_new: bool = False
+    node: NodeCore, service: str, used: list[str], only_new: bool = False
 ) -> HostEntry | None:
     """Return a replica, one not used before where there is one."""
     replicas = ready_replicas(node, service)
--- a/src/plantainsail/runtime/ticket_mint.py
+++ b/src/plantainsail/runtime/ticket_mint.py
@@ -1,10 +1,11 @@
 """Mints tickets and keeps the peers' periods that go into them."""
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from plantainsail.identity import Incarnation
 from plantainsail.membership.view import Peer, PeerState
+from plantainsail.runtime.node_core import NodeCore
 from plantainsail.runtime.ticket_links import TicketLinks
 from plantainsail.tickets.executor import Executor
 from plantainsail.tickets.mint import (
@@ -14,9 +15,6 @@
 )
 from plantainsail.tickets.ticket import Party, sign_ticket
 
-if TYPE_CHECKING:
-    from plantainsail.runtime.node import Node
-
 PERIOD_REFRESH_S = 30.0
 PERIOD_CHECK_S = 0.5
 PERIOD_TIMEOUT_S = 1.0
@@ -36,7 +34,7 @@
     """Makes the tickets that this daemon gives out."""
 
     def __init__(
-        self, node: "Node", executor: Executor, links: TicketLinks
+        self, node: NodeCore, executor: Executor, links: TicketLinks
     ) -> None:
         self.node = node
         self.executor = executor
--- a/src/plantainsail/runtime/tickets.py
+++ b/src/plantainsail/runtime/tickets.py
@@ -1,14 +1,16 @@
 """Runs ticketed calls, passes them on and resolves them."""
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from expression import Error, Ok, Result
 
 from plantainsail.identity import Incarnation
+from plantainsail.lists.model import HostEntry
 from plantainsail.peers.wire import tickets_pb2
 from plantainsail.policy.retries import WorkKind, may_repeat
 from plantainsail.results import Code, Failure
+from plantainsail.runtime.node_core import NodeCore
 from plantainsail.runtime.ticket_links import TicketLinks
 from plantainsail.runtime.ticket_mint import TicketMint
 from plantainsail.tickets.book import BookLimits, PeriodClock
@@ -28,10 +30,6 @@
 from plantainsail.tickets.witness import MAX_KEPT_ANSWER_BYTES, Witness
 from plantainsail.upstreams.protocols import ServiceCall
 
-if TYPE_CHECKING:
-    from plantainsail.lists.model import HostEntry
-    from plantainsail.runtime.node import Node
-
 MS_PER_S = 1_000
 WITNESS_TIMEOUT_S = 1.0
 # A run ends by its deadline, and its waiters a little later, so that
@@ -66,7 +64,7 @@
 class TicketRuntime:
     """The executor and the witness of one daemon, and its calls."""
 
-    def __init__(self, node: "Node") -> None:
+    def __init__(self, node: NodeCore) -> None:
         self.node = node
         limits = BookLimits()
         self.periods = PeriodClock(
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -69,3 +69,38 @@
     for protocol in protocols:
         recorded = protocol.with_suffix(".sha256").read_text().strip()
         assert recorded == protocol_hash(protocol), protocol.name
+
+
+def module_of(file: Path) -> str:
+    """Return the name of a file's module."""
+    parts = file.with_suffix("").relative_to("src").parts
+    return ".".join(part for part in parts if part != "__init__")
+
+
+def test_no_module_imports_itself_by_way_of_others() -> None:
+    """Imports for types only count as well."""
+    files = [file for file in SOURCE.rglob("*.py") if "_pb2" not in file.name]
+    names = {module_of(file) for file in files}
+    imports = {
+        module_of(file): {
+            found for found in imported_names(file) if found in names
+        }
+        for file in files
+    }
+    left = dict(imports)
+    while True:
+        free = {name for name, found in left.items() if not found & set(left)}
+        if not free:
+            break
+        for name in free:
+            del left[name]
+    assert left == {}
+
+
+def imported_names(file: Path) -> Iterator[str]:
+    """Yield modules that a file imports, or imports from."""
+    for node in ast.walk(ast.parse(file.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+            for alias in node.names:
+                yield f"{node.module}.{alias.name}"
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -43,7 +43,7 @@
 from plantainsail.peers.marks_section import MarksSection
 from plantainsail.peers.messages import make_heartbeat, sender_of
 from plantainsail.peers.wire.fleet_pb2 import HeartbeatMessage
-from plantainsail.runtime.node import LifeCycle
+from plantainsail.runtime.life_cycle import LifeCycle
 from tests.standins.machine import run_machine
 
 DAEMONS = 4
