--- a/src/plantainsail/daemon.py
+++ b/src/plantainsail/daemon.py
@@ -12,6 +12,7 @@
 
 from plantainsail.api.app import make_caller_app, make_operator_app
 from plantainsail.api.bounded_http import BoundedHttpProtocol
+from plantainsail.api.listener import listener_config
 from plantainsail.clock import BootClock, Clock
 from plantainsail.logs import configure_logging
 from plantainsail.membership.pauses import TICK_INTERVAL_S
@@ -28,7 +29,7 @@
 from plantainsail.runtime.node import Node
 from plantainsail.runtime.orders import OrderRuntime
 from plantainsail.runtime.stream_sweep import StreamSweep, wait_until_idle
-from plantainsail.settings import Settings, load_settings, split_address
+from plantainsail.settings import Settings, load_settings
 from plantainsail.signing import Signer
 from plantainsail.upstreams.engine_reports import HttpReportClient
 
@@ -40,20 +41,11 @@
     """Serves one application on one address in this event loop."""
 
     def __init__(self, app: Starlette, address: str, node: Node) -> None:
-        ip, port = split_address(address)
-        config = uvicorn.Config(
+        config = listener_config(
             app,
-            host=ip,
-            port=port,
-            loop="asyncio",
-            http=BoundedHttpProtocol,
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            proxy_headers=False,
-            h11_max_incomplete_event_size=node.settings.limits.header_bytes,
+            address,
+            BoundedHttpProtocol,
+            node.settings.limits.header_bytes,
         )
         self.server = uvicorn.Server(config)
         # The daemon handles signals itself, for both listeners.
--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -15,6 +15,7 @@
 from starlette.routing import Mount, Route
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from plantainsail.api.listener import listener_config
 from plantainsail.clock import Clock
 from plantainsail.entry.dialect import Dialect
 from plantainsail.entry.feed import PublishedFeed
@@ -28,7 +29,7 @@
 from plantainsail.entry.source import PublishedSource
 from plantainsail.entry.streaming import StreamForwarder
 from plantainsail.runtime.lasting import keep_running
-from plantainsail.settings import SettingsError, split_address
+from plantainsail.settings import SettingsError
 
 MAX_HEAD_BYTES = 65_536
 # Idle connections of callers stay open longer than callers reuse them.
@@ -48,26 +49,11 @@
     """Serves one application on one address."""
 
     def __init__(self, app: Starlette, address: str) -> None:
-        ip, port = split_address(address)
-        self.server = uvicorn.Server(
-            uvicorn.Config(
-                app,
-                host=ip,
-                port=port,
-                loop="asyncio",
-                http=H11Protocol,
-                ws="none",
-                lifespan="off",
-                log_config=None,
-                access_log=False,
-                server_header=False,
-                date_header=False,
-                proxy_headers=False,
-                timeout_keep_alive=IDLE_S,
-                backlog=BACKLOG,
-                h11_max_incomplete_event_size=MAX_HEAD_BYTES,
-            )
-        )
+        config = listener_config(app, address, H11Protocol, MAX_HEAD_BYTES)
+        config.date_header = False
+        config.timeout_keep_alive = IDLE_S
+        config.backlog = BACKLOG
+        self.server = uvicorn.Server(config)
         self.servers: list[asyncio.Server] = []
 
     async def start(self) -> None:
--- /dev/null
+++ b/src/plantainsail/entry/evacuation.py
@@ -0,0 +1,298 @@
+"""Takes running generations off engines that leave."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from plantainsail.entry.mover import CopyEnd, EngineMover
+from plantainsail.entry.node import EntryNode
+from plantainsail.entry.views import engine_views
+from plantainsail.routing.evacuation import (
+    CUT_OVER,
+    USUAL_NOTICE_S,
+    WAIT,
+    LastStep,
+    copy_time_s,
+    ends_before,
+    is_copy_worth_it,
+    next_step,
+)
+from plantainsail.routing.model import RoutedUpstream, Service
+from plantainsail.routing.picture import UpstreamLoad
+from plantainsail.routing.placement import (
+    EngineView,
+    GenerationNeed,
+    choose_move_target,
+)
+from plantainsail.upstreams.single_use import (
+    ConnectError,
+    SingleUseConnection,
+)
+
+LOOK_AGAIN_S = 0.01
+LOOK_FOR_ROOM_S = 0.04
+CONNECT_S = 0.3
+FIRST_COPY_PENDING = UpstreamLoad(first_copies=1)
+# Seconds to a token where an engine's pace isn't known.
+USUAL_TOKEN_S = 0.009
+MAX_TARGETS = 2
+# A final copy carries little; one that takes longer waits for others.
+FINAL_COPY_S = 0.09
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+TOO_LATE = CopyEnd(HTTP_NOT_FOUND)
+
+
+class Leg(NamedTuple):
+    """Where a generation goes on.
+
+    `connection` may have been opened ahead; `source` keeps the memory
+    of a run that it stopped.
+    """
+
+    upstream: RoutedUpstream
+    value: bytes
+    connection: SingleUseConnection | None = None
+    source: RoutedUpstream | None = None
+
+
+class Departing(NamedTuple):
+    """A generation on an engine that leaves.
+
+    `made` are its output tokens so far, `output_limit` is the most it
+    can make.
+    """
+
+    request: str
+    source: RoutedUpstream
+    service: Service
+    need: GenerationNeed
+    noticed_s: float
+    made: int
+    output_limit: int
+
+    @property
+    def held_tokens(self) -> int:
+        """Return the memory that the run holds now."""
+        return self.need.prompt_tokens + self.made
+
+
+class Evacuation:
+    """Moves one generation; `leg` is set once it may go on.
+
+    `cut` closes the source's stream, so that the generation goes on
+    from the leg.
+    """
+
+    def __init__(
+        self,
+        node: EntryNode,
+        mover: EngineMover,
+        departing: Departing,
+        cut: Callable[[], None],
+    ) -> None:
+        self.node = node
+        self.mover = mover
+        self.departing = departing
+        self.cut = cut
+        self.leg: Leg | None = None
+        self.reserved: tuple[str, UpstreamLoad] | None = None
+        self.is_stopping = False
+        self.result = "not begun"
+
+    async def run(self) -> None:
+        """Copy the run while it goes on, then its rest."""
+        try:
+            await self._move()
+        finally:
+            self.node.metrics.moves.labels(self.result).inc()
+            self._log()
+
+    def release(self) -> None:
+        """Give back the room kept at the target."""
+        if self.reserved is not None:
+            self.node.picture.subtract(*self.reserved)
+            self.reserved = None
+            self.node.load_changed.set()
+
+    @property
+    def gone_s(self) -> float:
+        """Return when the source is expected to be gone."""
+        departing = self.departing
+        notice_s = self.node.notices.get(
+            departing.source.identifier, USUAL_NOTICE_S
+        )
+        return departing.noticed_s + notice_s
+
+    async def _move(self) -> None:
+        if self._ends_by_itself():
+            self.result = "ends by itself"
+            return
+        avoided: set[str] = {self.departing.source.identifier}
+        for _ in range(MAX_TARGETS):
+            target = await self._wait_for_target(avoided)
+            if target is None:
+                self.result = "no room elsewhere"
+                return
+            avoided.add(target.identifier)
+            copied = await self._first_copy(target)
+            if copied.status == HTTP_OK:
+                await self._finish(target, copied)
+                return
+            self.release()
+            self.result = f"first copy {copied.status}"
+            if copied.status == HTTP_NOT_FOUND:
+                return
+
+    def _ends_by_itself(self) -> bool:
+        departing = self.departing
+        now_s = self.node.now_s()
+        token_s = USUAL_TOKEN_S
+        pause_s = self.node.paces.usual_s(departing.source.identifier, now_s)
+        if pause_s:
+            token_s = pause_s / departing.service.traits.tokens_per_event
+        left = max(1, departing.output_limit - departing.made)
+        return ends_before(left, token_s, self.gone_s, now_s)
+
+    async def _wait_for_target(
+        self, avoided: set[str]
+    ) -> RoutedUpstream | None:
+        while True:
+            target = self._choose_target(avoided)
+            if target is not None:
+                return target
+            if self.node.now_s() >= self.gone_s:
+                return None
+            await asyncio.sleep(LOOK_FOR_ROOM_S)
+
+    def _choose_target(self, avoided: set[str]) -> RoutedUpstream | None:
+        zone = self.departing.source.availability_zone
+        views: list[EngineView] = []
+        for view in engine_views(self.node, self.departing.service):
+            if view.upstream.identifier in avoided:
+                continue
+            is_near = view.upstream.availability_zone == zone
+            views.append(view._replace(is_same_zone=is_near))
+        return choose_move_target(views, self.departing.need)
+
+    async def _first_copy(self, target: RoutedUpstream) -> CopyEnd:
+        departing = self.departing
+        node = self.node
+        traits = departing.service.traits
+        copy_s = copy_time_s(
+            departing.held_tokens,
+            traits.token_bytes,
+            traits.link_bytes_s,
+            is_same_zone=target.availability_zone
+            == departing.source.availability_zone,
+        )
+        if not is_copy_worth_it(copy_s, self.gone_s, node.now_s()):
+            return TOO_LATE
+        self._reserve(target)
+        source = departing.source.identifier
+        node.picture.add(source, FIRST_COPY_PENDING)
+        node.load_changed.set()
+        try:
+            return await self._copy(target, is_final=False)
+        finally:
+            node.picture.subtract(source, FIRST_COPY_PENDING)
+            node.load_changed.set()
+
+    def _reserve(self, target: RoutedUpstream) -> None:
+        need = self.departing.need
+        load = UpstreamLoad(
+            running=1,
+            long_running=int(need.is_long),
+            memory_tokens=need.memory_tokens,
+        )
+        self.reserved = (target.identifier, load)
+        self.node.picture.add(target.identifier, load)
+        self.node.load_changed.set()
+
+    async def _finish(self, target: RoutedUpstream, copied: CopyEnd) -> None:
+        # Should the source be cut from now on, this copy is used.
+        connection = await self._connect(target)
+        self.leg = self._make_leg(target, copied.handle, connection)
+        step = await self._wait_for_step()
+        self.is_stopping = True
+        if step is CUT_OVER:
+            self.result = "cut over"
+            self.cut()
+            return
+        final = await self._final_copy(target)
+        self.result = f"final copy {final.status}"
+        if final.status == HTTP_OK:
+            self.leg = self._make_leg(target, final.handle, connection)
+        elif final.status == HTTP_NOT_FOUND:
+            # The run ended by itself meanwhile.
+            self.leg = None
+            if connection is not None:
+                connection.abort()
+        else:
+            # The run was stopped, or can't be asked; its first copy
+            # is all there is.
+            self.cut()
+
+    async def _wait_for_step(self) -> LastStep:
+        source = self.departing.source.identifier
+        while True:
+            now_s = self.node.now_s()
+            load = self.node.picture.load_of(source, now_s)
+            step = next_step(load.first_copies, self.gone_s, now_s)
+            if step is not WAIT:
+                return step
+            await asyncio.sleep(LOOK_AGAIN_S)
+
+    async def _final_copy(self, target: RoutedUpstream) -> CopyEnd:
+        try:
+            async with asyncio.timeout(FINAL_COPY_S):
+                return await self._copy(target, is_final=True)
+        except TimeoutError:
+            return CopyEnd(0)
+
+    async def _copy(
+        self, target: RoutedUpstream, *, is_final: bool
+    ) -> CopyEnd:
+        departing = self.departing
+        return await self.mover.copy_run(
+            departing.source.address,
+            departing.request,
+            target.address,
+            is_final=is_final,
+        )
+
+    def _make_leg(
+        self,
+        upstream: RoutedUpstream,
+        handle: str,
+        connection: SingleUseConnection | None,
+    ) -> Leg:
+        source = self.departing.source
+        value = self.mover.continue_value(source.address, handle)
+        return Leg(upstream, value, connection, source)
+
+    async def _connect(
+        self, target: RoutedUpstream
+    ) -> SingleUseConnection | None:
+        try:
+            return await SingleUseConnection.open(target.address, CONNECT_S)
+        except ConnectError:
+            # The copy may still be used later; the leg connects anew.
+            self.node.log.info(
+                "target not reached", upstream=target.identifier
+            )
+            return None
+
+    def _log(self) -> None:
+        departing = self.departing
+        target = None if self.leg is None else self.leg.upstream.identifier
+        now_s = self.node.now_s()
+        self.node.log.info(
+            "generation moved",
+            request=departing.request,
+            source=departing.source.identifier,
+            target=target,
+            result=self.result,
+            notice_age_ms=int((now_s - departing.noticed_s) * 1000),
+            gone_in_ms=int((self.gone_s - now_s) * 1000),
+        )
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -9,12 +9,8 @@
 
 from plantainsail.entry.caller import end_to_end
 from plantainsail.entry.dialect import read_counts
-from plantainsail.entry.mover import (
-    Departing,
-    EngineMover,
-    Evacuation,
-    Leg,
-)
+from plantainsail.entry.evacuation import Departing, Evacuation, Leg
+from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import (
     RoutedRequest,
--- a/src/plantainsail/platform/store.py
+++ b/src/plantainsail/platform/store.py
@@ -36,6 +36,9 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.log = get_logger("store")
+        # What was decoded last; most reads find nothing newer.
+        self.last_revision: int | None = None
+        self.last: RoutingConfiguration | None = None
 
     async def read_configuration(self) -> RoutingConfiguration | None:
         """Return the newest configuration, None before the first."""
@@ -102,11 +105,16 @@
             raise SourceError(str(error)) from error
 
     def _configuration(self, item: Any) -> RoutingConfiguration | None:
+        revision = int(item["Revision"])
+        if revision == self.last_revision:
+            return self.last
         try:
-            return decode_configuration(_value(item))
+            self.last = decode_configuration(_value(item))
         except UnreadableError as error:
             self.log.warning("configuration unreadable", reason=str(error))
             return None
+        self.last_revision = revision
+        return self.last
 
     def _upstream(self, item: Any) -> RoutedUpstream | None:
         identifier = str(item["Key"]).removeprefix(UPSTREAM_PREFIX)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -239,6 +239,21 @@
     assert store.calls[0][2] == {"Key": ["op/config"]}
 
 
+async def test_a_configuration_is_decoded_once(standin: Served) -> None:
+    store, address = standin
+    later = CONFIGURATION | {"Version": 9}
+    store.answers["kv-key"] = [
+        (200, item("op/config", CONFIGURATION, 5) | {"At": 9}),
+        (200, item("op/config", CONFIGURATION, 5) | {"At": 10}),
+        (200, item("op/config", later, 6) | {"At": 11}),
+    ]
+    client = PlatformStore(address)
+    first = await client.read_configuration()
+    assert await client.read_configuration() is first
+    newest = await client.read_configuration()
+    assert newest is not None and newest.version == 9
+
+
 async def test_all_pages_of_upstreams_are_read(standin: Served) -> None:
     store, address = standin
     pages = [
