Pass on no engine's refusal that does not say that nothing ran

Found by reading: a 503, 429 or 408 without the word "not executed" was passed on for streams, and is a promise to callers. The test failed before for all three.

--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -38,7 +38,6 @@
 RETRY_AFTER_S = 0.1
 MAX_REFUSALS = 3
 SERVER_ERROR = 500
-PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class Ending(Enum):
@@ -247,9 +246,6 @@
     """Return what a whole answer means."""
     if is_not_executed(head, node.dialect):
         return Sent(Ending.NOT_RUN, reason="refused")
-    if head.status in PROMISING_STATUSES:
-        # The status says "not run", but the upstream does not.
-        return Sent(Ending.FAILED, reason="unproved refusal")
     if not is_sound_head(head, request, node.dialect):
         return Sent(Ending.FAILED, reason="not its answer")
     return Sent(
--- a/src/plantainsail/entry/request.py
+++ b/src/plantainsail/entry/request.py
@@ -12,6 +12,8 @@
 )
 
 CONTENT_LENGTH = b"content-length"
+# Callers take these for a promise that the request did not run.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 METHODS_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
 # An upstream is told a little less than is left, so that its answer
 # still reaches the caller.
@@ -77,7 +79,13 @@
 def is_sound_head(
     head: AnswerHead, request: RoutedRequest, dialect: Dialect
 ) -> bool:
-    """Return whether an answer belongs to a request and is whole."""
+    """Return whether an answer that was run belongs to a request.
+
+    A status that says "not run" is not sound: the upstream itself
+    does not say so, and the caller would believe it.
+    """
+    if head.status in PROMISING_STATUSES:
+        return False
     echoed = head.get(dialect.request_id)
     if echoed is not None and echoed.decode("latin-1") != request.identifier:
         return False
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -21,6 +21,8 @@
     StandInCaller,
     StandInSource,
     StandInUpstream,
+    answer,
+    answering,
     chunk,
     configuration,
     event,
@@ -370,6 +372,18 @@
     assert sum(len(one.seen) for one in here.upstreams) == 1
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_an_unproved_refusal_of_an_engine_is_not_passed_on(
+    world: MakeWorld, status: int
+) -> None:
+    """Found by reading: only plain requests had this check."""
+    here = await world(answering(answer(status, b"")))
+    got = await here.stream()
+    assert got.status == 502
+    assert got.headers["plantainsail-outcome"] == "unknown"
+    assert sum(len(one.seen) for one in here.upstreams) == 1
+
+
 async def test_generation_ends_when_its_caller_leaves(
     world: MakeWorld,
 ) -> None:
