Stop a run at its source when it is cut over

Cause looked for: an engine that does not end a run when its connection closes would go on beside the next engine for the rest of its notice.

--- a/src/plantainsail/entry/evacuation.py
+++ b/src/plantainsail/entry/evacuation.py
@@ -38,6 +38,9 @@
 MAX_TARGETS = 2
 # A final copy carries little; one that takes longer waits for others.
 FINAL_COPY_S = 0.09
+# Not every engine ends a run whose connection is closed, so one that is
+# cut over is asked to stop; the answer is not waited for.
+STOP_S = 0.02
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 TOO_LATE = CopyEnd(HTTP_NOT_FOUND)
@@ -215,12 +218,11 @@
         self.leg = self._make_leg(target, copied.handle, connection)
         step = await self._wait_for_step()
         self.is_stopping = True
+        patience_s = STOP_S if step is CUT_OVER else FINAL_COPY_S
+        final = await self._final_copy(target, patience_s)
+        self.result = f"final copy {final.status}"
         if step is CUT_OVER:
             self.result = "cut over"
-            self.cut()
-            return
-        final = await self._final_copy(target)
-        self.result = f"final copy {final.status}"
         if final.status == HTTP_OK:
             self.leg = self._make_leg(target, final.handle, connection)
         elif final.status == HTTP_NOT_FOUND:
@@ -243,9 +245,12 @@
                 return step
             await asyncio.sleep(LOOK_AGAIN_S)
 
-    async def _final_copy(self, target: RoutedUpstream) -> CopyEnd:
+    async def _final_copy(
+        self, target: RoutedUpstream, patience_s: float
+    ) -> CopyEnd:
+        """Stop the run, and copy its rest if that doesn't take long."""
         try:
-            async with asyncio.timeout(FINAL_COPY_S):
+            async with asyncio.timeout(patience_s):
                 return await self._copy(target, is_final=True)
         except TimeoutError:
             return CopyEnd(0)
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -290,6 +290,8 @@
             raise LostError("the next engine can't be reached") from error
         if head.status != HTTP_OK:
             raise LostError(f"the copy was not taken: {head.status}")
+        if not is_sound_head(head, self.request, self.node.dialect):
+            raise LostError("not its answer")
         self._settle(leg.upstream)
         if not self.node.registry.is_usable(leg.upstream.identifier):
             self.leave(self.node.now_s())
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -9,6 +9,7 @@
 from plantainsail.entry.deaths import take_told, to_tell
 from plantainsail.entry.mover import CopyEnd, EngineWord
 from plantainsail.policy.quarantine import Quarantine
+from plantainsail.routing import evacuation
 from plantainsail.routing.evacuation import USUAL_NOTICE_S
 from plantainsail.routing.members import ToldSuspect
 from tests.standins.routed import (
@@ -282,6 +283,21 @@
     assert here.engines.mover.calls == [False]
 
 
+async def test_a_stream_that_is_cut_over_is_stopped_at_its_source(
+    world: MakeWorld, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Not every engine ends a run whose connection was closed."""
+    monkeypatch.setattr(evacuation, "CUT_OVER_RESERVE_S", USUAL_NOTICE_S)
+    here = await world()
+    here.engines.mover.hangs_on_final = True
+    stream = here.stream()
+    await here.has_events(3)
+    here.drain()
+    got = await stream
+    assert (got.body, got.is_whole) == (WHOLE, True)
+    assert here.engines.mover.calls == [False, True]
+
+
 @pytest.mark.parametrize("status", [0, 404, 409, 503])
 async def test_a_stream_that_can_t_be_copied_stays(
     world: MakeWorld, status: int
