--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -280,20 +280,22 @@
         assert self.connection is not None
         self.connection.abort()
         self.legs += 1
+        upstream = leg.upstream
         try:
-            head = await self._open_leg(leg, leg.upstream)
+            head = await self._open_leg(leg, upstream)
             if is_not_executed(head, self.node.dialect) and leg.source:
-                head = await self._open_leg(
-                    leg._replace(connection=None), leg.source
-                )
+                # The source keeps the memory of a run that it stopped.
+                upstream = leg.source
+                kept = leg._replace(connection=None)
+                head = await self._open_leg(kept, upstream)
         except ConnectError as error:
             raise LostError("the next engine can't be reached") from error
         if head.status != HTTP_OK:
             raise LostError(f"the copy was not taken: {head.status}")
         if not is_sound_head(head, self.request, self.node.dialect):
             raise LostError("not its answer")
-        self._settle(leg.upstream)
-        if not self.node.registry.is_usable(leg.upstream.identifier):
+        self._settle(upstream)
+        if not self.node.registry.is_usable(upstream.identifier):
             self.leave(self.node.now_s())
 
     def _settle(self, upstream: RoutedUpstream) -> None:
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -88,6 +88,7 @@
         self.mover = StandInMover(self.run)
         self.pause_s = 0.01
         self.takes_copies = True
+        self.refusing: set[str] = set()
         self.break_at: int | None = None
         self.skip_at: int | None = None
 
@@ -96,7 +97,9 @@
     ) -> None:
         """Generate events from the beginning or from a copy."""
         is_copy = CONTINUE in request.headers
-        if is_copy and not self.takes_copies:
+        engine = request.headers["plantainsail-expected-upstream"]
+        is_refusing = not self.takes_copies or engine in self.refusing
+        if is_copy and is_refusing:
             writer.write(NOT_EXECUTED)
             await writer.drain()
             return
@@ -315,7 +318,22 @@
 async def test_a_copy_that_is_not_taken_goes_on_at_its_source(
     world: MakeWorld,
 ) -> None:
-    """Neither engine takes it here, so the stream must look cut."""
+    here = await world()
+    stream = here.stream()
+    await here.has_events(3)
+    (generation,) = here.daemon.stream.generations
+    assert generation.upstream is not None
+    source = generation.upstream.identifier
+    here.engines.refusing = {"e0", "e1"} - {source}
+    here.drain()
+    got = await stream
+    assert (got.body, got.is_whole) == (WHOLE, True)
+    assert here.daemon.node.picture.own == {}
+
+
+async def test_a_copy_that_no_engine_takes_leaves_a_cut_stream(
+    world: MakeWorld,
+) -> None:
     here = await world()
     here.engines.takes_copies = False
     stream = here.stream()
