--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -299,14 +299,19 @@
             self.leave(self.node.now_s())
 
     def _settle(self, upstream: RoutedUpstream) -> None:
-        """Move the load to the engine where the run goes on."""
-        self.vacate()
+        """Note on which engine the run goes on."""
         evacuation, self.evacuation = self.evacuation, None
         self.evacuation_task = None
+        if evacuation is None or evacuation.reserved is None:
+            return
+        if evacuation.reserved[0] != upstream.identifier:
+            # It goes on at its source, where its load still stands.
+            evacuation.release()
+            return
+        self.vacate()
         self.upstream = upstream
-        if evacuation is not None and evacuation.reserved is not None:
-            self.load = evacuation.reserved[1]
-            evacuation.reserved = None
+        self.load = evacuation.reserved[1]
+        evacuation.reserved = None
 
     async def _open_leg(
         self, leg: Leg, upstream: RoutedUpstream
