--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -30,7 +30,7 @@
 )
 
 CONNECT_S = 0.35
-WHOLE_ANSWER_BYTES = 1_048_576
+WHOLE_ANSWER_BYTES = 8_388_608
 ONE_RUNNING = UpstreamLoad(running=1)
 # An idempotent request goes to another upstream after this part of the
 # time that was left.
@@ -38,6 +38,7 @@
 RETRY_AFTER_S = 0.1
 MAX_REFUSALS = 3
 SERVER_ERROR = 500
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Ending(Enum):
@@ -71,7 +72,8 @@
             await self.refuse(request, sent)
             return
         headers = list(sent.headers)
-        if request.caller.method != b"HEAD":
+        is_bodiless = sent.status in BODILESS_STATUSES
+        if request.caller.method != b"HEAD" and not is_bodiless:
             headers.append((b"content-length", b"%d" % len(sent.body)))
         self._count(request, "answered")
         await request.caller.start(sent.status, headers)
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -312,6 +312,25 @@
     assert got.status == 200
 
 
+async def test_an_answer_without_body_says_no_length(
+    world: MakeWorld,
+) -> None:
+    data = b"HTTP/1.1 204 None\r\n" + SIGNATURE + b"\r\n"
+    here = await world(answering(data))
+    reader, writer = await here.caller.open("/once/x")
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    assert head.startswith(b"HTTP/1.1 204")
+    assert b"content-length" not in head.lower()
+
+
+async def test_a_large_answer_is_whole(world: MakeWorld) -> None:
+    body = b"x" * 3_000_000
+    here = await world(answering(answer(200, body)))
+    got = await here.caller.call("/once/x")
+    assert (len(got.body), got.is_whole) == (len(body), True)
+
+
 async def never(_: SeenRequest, __: asyncio.StreamWriter) -> None:
     await asyncio.Event().wait()
 
