Bound the time of callers' heads; test resets at any byte and early answers

A head that has begun must end within the published limit; a connection may stay idle. Tests: obsolete folding, a reset after each byte of an answer, an answer before the body was read.

--- /dev/null
+++ b/src/plantainsail/entry/caller_protocol.py
@@ -0,0 +1,51 @@
+"""HTTP connections of callers, with a bound on the time of heads."""
+
+import asyncio
+
+import h11
+from starlette.applications import Starlette
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from plantainsail.entry.node import EntryNode
+
+
+class CallerProtocol(H11Protocol):
+    """Closes connections whose request heads don't come to an end.
+
+    The time starts with the first bytes of a head, so that a connection
+    may stay idle between two requests.
+    """
+
+    head_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def node(self) -> EntryNode:
+        """Return the node that the application serves."""
+        app = self.config.app
+        assert isinstance(app, Starlette)
+        node: EntryNode = app.state.node
+        return node
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the time limit."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; the time limit ends with the head."""
+        super().data_received(data)
+        if self.conn.their_state is not h11.IDLE:
+            self._stop_timer()
+        elif self.head_timer is None:
+            self.head_timer = self.loop.call_later(
+                self.node.caller_limits().header_s, self._close_late
+            )
+
+    def _stop_timer(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def _close_late(self) -> None:
+        self.node.log.info("head too late", client=str(self.client))
+        self.transport.close()
--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -17,6 +17,7 @@
 
 from plantainsail.api.listener import listener_config
 from plantainsail.clock import Clock
+from plantainsail.entry.caller_protocol import CallerProtocol
 from plantainsail.entry.dialect import Dialect
 from plantainsail.entry.feed import PublishedFeed
 from plantainsail.entry.gossip import Gossip
@@ -48,8 +49,13 @@
 class Listener:
     """Serves one application on one address."""
 
-    def __init__(self, app: Starlette, address: str) -> None:
-        config = listener_config(app, address, H11Protocol, MAX_HEAD_BYTES)
+    def __init__(
+        self,
+        app: Starlette,
+        address: str,
+        protocol: type[asyncio.Protocol] = H11Protocol,
+    ) -> None:
+        config = listener_config(app, address, protocol, MAX_HEAD_BYTES)
         config.date_header = False
         config.timeout_keep_alive = IDLE_S
         config.backlog = BACKLOG
@@ -119,10 +125,9 @@
         handler = RequestHandler(
             self.node, PlainForwarder(self.node), self.stream
         )
-        self.callers = Listener(
-            Starlette(routes=[Mount("/", app=handler)]),
-            settings.caller_address,
-        )
+        app = Starlette(routes=[Mount("/", app=handler)])
+        app.state.node = self.node
+        self.callers = Listener(app, settings.caller_address, CallerProtocol)
         self.readiness = Listener(
             Starlette(
                 routes=[
--- a/src/plantainsail/entry/handler.py
+++ b/src/plantainsail/entry/handler.py
@@ -14,7 +14,6 @@
 from plantainsail.entry.streaming import StreamForwarder
 from plantainsail.results import Code, Failure
 from plantainsail.routing.model import (
-    CallerLimits,
     Organisation,
     RequestKind,
     Route,
@@ -56,8 +55,9 @@
     async def _serve(self, caller: CallerExchange) -> None:
         arrived_s = self.node.now_s()
         found = self._judge(caller)
+        limits = self.node.caller_limits()
         try:
-            body = await caller.read_body(self._body_limit())
+            body = await caller.read_body(limits.body_bytes)
         except BodyTooLargeError:
             caller.closes = True
             failure = Failure(Code.BODY_TOO_LARGE, "the body is too long")
@@ -129,12 +129,6 @@
             return Failure(Code.UNKNOWN_KEY, "nobody holds the key")
         return table, route, organisation
 
-    def _body_limit(self) -> int:
-        table = self.node.in_force.table
-        if table is None:
-            return CallerLimits().body_bytes
-        return table.configuration.limits.body_bytes
-
     def _key_of(self, caller: CallerExchange) -> str | None:
         value = caller.get(b"authorization") or b""
         scheme, _, key = value.partition(b" ")
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -13,6 +13,7 @@
 from plantainsail.routing.budget import RepeatBudget
 from plantainsail.routing.in_force import ConfigurationInForce
 from plantainsail.routing.members import Members
+from plantainsail.routing.model import CallerLimits
 from plantainsail.routing.pace import PaceBook
 from plantainsail.routing.picture import LoadPicture
 from plantainsail.routing.reading import ReadRates
@@ -97,6 +98,13 @@
         self.paces.forget_except(set(known))
         self.read_rates.forget_except(set(known))
 
+    def caller_limits(self) -> CallerLimits:
+        """Return what callers may send, by what is in force."""
+        table = self.in_force.table
+        if table is None:
+            return CallerLimits()
+        return table.configuration.limits
+
     def may_use_keys(self) -> bool:
         """Return whether keys can be checked against fresh lists."""
         return self.in_force.may_use_keys(
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.routing.model import RoutedUpstream
 from tests.standins.routed import (
     KEYS,
     NOT_EXECUTED,
@@ -331,6 +332,92 @@
     assert (len(got.body), got.is_whole) == (len(body), True)
 
 
+async def test_an_obsolete_folded_header_smuggles_nothing(
+    world: MakeWorld,
+) -> None:
+    here = await world(answering(answer()))
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", here.caller.port
+    )
+    writer.write(
+        b"POST /once/x HTTP/1.1\r\nhost: example.org\r\nx-folded: a\r\n"
+        b" plantainsail-organisation: b\r\ncontent-length: 0\r\n\r\n"
+    )
+    await reader.readline()
+    writer.close()
+    for seen in here.seen():
+        assert "plantainsail-organisation" not in seen.headers
+        assert "\n" not in seen.headers["x-folded"]
+
+
+async def test_a_reset_at_any_byte_never_looks_whole(
+    world: MakeWorld,
+) -> None:
+    data = answer(200, b"body")
+    cuts: list[int] = []
+
+    async def serve(_: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(data[: cuts[-1]])
+        await writer.drain()
+        reset(writer)
+
+    here = await world(serve)
+    for cut in range(len(data)):
+        cuts.append(cut)
+        here.daemon.node.registry.note_success("u0")
+        got = await here.caller.call("/once/x")
+        assert got.status == 502, cut
+        assert got.headers["plantainsail-outcome"] == "unknown"
+
+
+async def test_an_answer_before_the_body_was_read_is_passed_on(
+    world: MakeWorld,
+) -> None:
+    here = await world()
+    seen: list[bytes] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        seen.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(answer(200, b"early"))
+        await writer.drain()
+        seen.append(await reader.read())
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    here.source.put(
+        RoutedUpstream("u9", "service", f"127.0.0.1:{port}", "a", 8)
+    )
+    await until(lambda: here.daemon.node.registry.is_usable("u9"))
+    body = b"y" * 2_000_000
+    got = await here.caller.call("/once/x", body=body)
+    assert got.body == b"early"
+    await until(lambda: len(seen) == 2)
+    server.close()
+    # Nothing but this body ever came on the connection.
+    assert body.startswith(seen[1])
+
+
+async def test_a_head_that_does_not_end_is_not_waited_for(
+    world: MakeWorld,
+) -> None:
+    here = await world(answering(answer()))
+    limits = here.source.published.limits._replace(header_s=0.1)
+    here.source.publish(
+        here.source.published._replace(version=2, limits=limits)
+    )
+    await until(lambda: here.daemon.node.in_force.version == 2)
+    reader, writer = await here.caller.open("/once/x")
+    assert (await read_answer(reader)).status == 200
+    await asyncio.sleep(0.25)
+    # Idle for longer than a head may take, and still open.
+    writer.write(b"POST /once/x HTTP/1.1\r\nhost: exam")
+    assert await reader.read() == b""
+    writer.close()
+
+
 async def never(_: SeenRequest, __: asyncio.StreamWriter) -> None:
     await asyncio.Event().wait()
 
