Let liveness grow with the time between heartbeats

Cause: beyond some 190 daemons heartbeats were rarer than the silence that made a daemon look dead; all would have watched the service. Found by reading. Fleets of up to 88 are as before.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -20,14 +20,11 @@
     LoadEntry,
     Member,
     ToldSuspect,
+    heartbeat_interval_s,
 )
-from plantainsail.routing.picture import UpstreamLoad
+from plantainsail.routing.picture import PEER_SILENCE_S, UpstreamLoad
 from plantainsail.settings import split_address
 
-HEARTBEAT_S = 0.25
-# A daemon sends no more heartbeats a second than this, whatever the
-# size of the fleet.
-HEARTBEATS_A_SECOND = 120.0
 CHANGE_DELAY_S = 0.004
 SILENT_SEED_EVERY = 4
 
@@ -146,8 +143,7 @@
                 if is_silent and self.rounds % SILENT_SEED_EVERY:
                     continue
                 self._send(member, message)
-            pause_s = max(HEARTBEAT_S, len(self.live) / HEARTBEATS_A_SECOND)
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(heartbeat_interval_s(len(self.live)))
 
     async def _send_changes(self) -> None:
         while True:
@@ -287,6 +283,9 @@
         for address in self.live - live:
             self.node.log.warning("peer lost", peer=address)
         self.live = live
+        self.node.picture.silence_s = max(
+            PEER_SILENCE_S, self.node.members.live_s()
+        )
         self.node.metrics.peers.set(len(live))
         for address in self.node.members.forget_silent(now_s):
             self.node.picture.forget(address)
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -7,7 +7,13 @@
 from plantainsail.routing.pace import Pace
 from plantainsail.routing.picture import UpstreamLoad
 
+HEARTBEAT_S = 0.25
+# A daemon sends no more heartbeats a second than this, whatever the
+# size of the fleet.
+HEARTBEATS_A_SECOND = 120.0
 LIVE_S = 1.6
+# One heartbeat may be lost without its sender being taken for dead.
+LIVE_HEARTBEATS = 2.2
 FORGET_S = 20.0
 BEHIND_S = 0.12
 BEHIND_UPSTREAMS_S = 0.3
@@ -17,6 +23,11 @@
 SAMPLED_MEMBERS = 3
 
 
+def heartbeat_interval_s(peers: int) -> float:
+    """Return the time between two heartbeats to the same peer."""
+    return max(HEARTBEAT_S, peers / HEARTBEATS_A_SECOND)
+
+
 class LoadEntry(NamedTuple):
     """What a daemon says of one upstream."""
 
@@ -162,13 +173,19 @@
         self.largest = max(self.largest, len(self.live(now_s)) + 1)
         return member
 
+    def live_s(self) -> float:
+        """Return after how much silence a daemon is taken for dead."""
+        interval_s = heartbeat_interval_s(len(self.members))
+        return max(LIVE_S, LIVE_HEARTBEATS * interval_s)
+
     def live(self, now_s: float) -> list[Member]:
         """Return the daemons that spoke a short time ago."""
+        live_s = self.live_s()
         found: list[Member] = []
         for member in self.members.values():
             if member.heard_s is None:
                 continue
-            if now_s - member.heard_s <= LIVE_S:
+            if now_s - member.heard_s <= live_s:
                 found.append(member)
         return found
 
--- a/src/plantainsail/routing/picture.py
+++ b/src/plantainsail/routing/picture.py
@@ -53,6 +53,7 @@
         self.own: dict[str, UpstreamLoad] = {}
         self.peers: dict[str, PeerLoads] = {}
         self.changed: set[str] = set()
+        self.silence_s = PEER_SILENCE_S
 
     def add(self, identifier: str, load: UpstreamLoad) -> None:
         """Add own work on an upstream, to be told at once."""
@@ -116,5 +117,5 @@
 
     def _live(self, now_s: float) -> Iterator[dict[str, UpstreamLoad]]:
         for peer in self.peers.values():
-            if now_s - peer.heard_s <= PEER_SILENCE_S:
+            if now_s - peer.heard_s <= self.silence_s:
                 yield peer.loads
--- a/tests/test_routing_in_force.py
+++ b/tests/test_routing_in_force.py
@@ -4,12 +4,12 @@
 from hypothesis import strategies as st
 
 from plantainsail.entry.feed import CHECK_INTERVAL_S
-from plantainsail.entry.gossip import HEARTBEAT_S
 from plantainsail.routing.in_force import (
     READER_INTERVAL_S,
     ConfigurationInForce,
     is_read_due,
 )
+from plantainsail.routing.members import HEARTBEAT_S
 from plantainsail.routing.model import RoutingConfiguration
 
 REVOCATION_S = 5.0
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -12,6 +12,7 @@
     WATCHERS,
     Heartbeat,
     Members,
+    heartbeat_interval_s,
 )
 
 OWN = "10.0.0.2:7000"
@@ -147,3 +148,14 @@
     members.hear(beat("c:1", 1), 0.0)
     ahead = [one.address for one in members.ahead_of(1, 1)]
     assert ahead == ["a:1", "b:1"]
+
+
+@pytest.mark.parametrize("fleet", [3, 9, 88, 300, 540])
+def test_a_lost_heartbeat_makes_nobody_look_dead(fleet: int) -> None:
+    """In a large fleet heartbeats are rarer than in a small one."""
+    members = Members(OWN, ())
+    for number in range(fleet - 1):
+        members.hear(beat(f"p{number}:1", 1), 0.0)
+    two_later_s = 2 * heartbeat_interval_s(fleet - 1)
+    assert len(members.live(two_later_s)) == fleet - 1
+    assert members.live(members.live_s() + 0.1) == []
