Give each soak a loopback address of its own

That a port was taken is not proved: the logs went with their folders. A daemon that ends at its start is said now, with its last line.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,12 +15,22 @@
 GRACE_S = 3.0
 
 
-def free_port() -> int:
-    """Return a port that nobody uses at the moment."""
+def own_loopback() -> str:
+    """Return a loopback address that only this process uses.
+
+    Ports of outgoing connections are those of 127.0.0.1, so none of
+    them is taken by one between its choice and its use.
+    """
+    number = os.getpid()
+    return f"127.{1 + number % 250}.{1 + number // 250 % 250}.1"
+
+
+def free_address() -> str:
+    """Return an address with a port that nobody uses."""
+    ip = own_loopback()
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+        sock.bind((ip, 0))
+        return f"{ip}:{sock.getsockname()[1]}"
 
 
 class SoakDaemon:
@@ -29,8 +39,8 @@
     def __init__(self, number: int, directory: Path, seeds: list[str]) -> None:
         self.settings_file = directory / f"entry-{number}.json"
         self.log_file = directory / f"entry-{number}.log"
-        self.callers = f"127.0.0.1:{free_port()}"
-        self.readiness = f"127.0.0.1:{free_port()}"
+        self.callers = free_address()
+        self.readiness = free_address()
         self.peer = seeds[number]
         settings = EntrySettings(
             host=f"entry-{number}",
@@ -63,8 +73,14 @@
             )
         async with asyncio.timeout(START_S):
             while not await self.is_ready():  # noqa: ASYNC110
+                if self.process.returncode is not None:
+                    raise OSError(f"ended at its start: {self._last_line()}")
                 await asyncio.sleep(0.05)
 
+    def _last_line(self) -> str:
+        lines = self.log_file.read_text(errors="replace").splitlines()
+        return lines[-1] if lines else "no output"
+
     async def is_ready(self) -> bool:
         """Return whether it says that it is ready."""
         ip, _, port = self.readiness.rpartition(":")
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,7 @@
 from typing import Any, NamedTuple
 
 from soak.caller import Attempt, call
-from soak.fleet import SoakDaemon, free_port
+from soak.fleet import SoakDaemon, free_address
 from soak.proxy import Fault, FaultyLink
 from soak.upstreams import SoakUpstream, times_run, whole_stream
 
@@ -47,7 +47,7 @@
         self.seed = seed
         self.source = random.Random(seed)
         self.directory = directory
-        seeds = [f"127.0.0.1:{free_port()}" for _ in range(daemons)]
+        seeds = [free_address() for _ in range(daemons)]
         self.daemons = [
             SoakDaemon(number, directory, seeds) for number in range(daemons)
         ]
@@ -215,7 +215,7 @@
         daemon.is_stopped = False
         try:
             await daemon.start()
-        except TimeoutError:
+        except (OSError, TimeoutError):
             # Another signal came before it was ready.
             self.faults["killed at its start"] += 1
 
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -13,13 +13,13 @@
 
 from plantainsail.entry.program import main
 from plantainsail.entry.settings import EntrySettings
+from soak.fleet import free_address
 from tests.standins.process import as_json
 from tests.standins.routed import (
     ROUTES,
     StandInUpstream,
     answer,
     answering,
-    free_port,
 )
 
 
@@ -32,10 +32,10 @@
         self.settings = EntrySettings(
             host="entry-1",
             availability_zone="a",
-            caller_address=f"127.0.0.1:{free_port()}",
-            readiness_address=f"127.0.0.1:{free_port()}",
-            peer_address=f"127.0.0.1:{free_port()}",
-            metrics_address=f"127.0.0.1:{free_port()}",
+            caller_address=free_address(),
+            readiness_address=free_address(),
+            peer_address=free_address(),
+            metrics_address=free_address(),
             published_file=str(self.published),
         )
         self.file.write_text(json.dumps(as_json(self.settings)))
