Share the cost of long streams, drop two names that nothing used

Found on reading the whole change: choosing an engine and choosing where a run moves wrote the same cost twice; MIN_TIME_LEFT_S and HeaderValues had no reader. Behaviour is as before; formatter, linter, types and the tests of routing, entry and platform pass.

--- a/src/plantainsail/entry/dialect.py
+++ b/src/plantainsail/entry/dialect.py
@@ -4,7 +4,6 @@
 platform.  All names are in lower case.
 """
 
-from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -66,6 +65,3 @@
     if not text.replace(b".", b"", 1).isdigit():
         return None
     return float(text)
-
-
-HeaderValues = Mapping[bytes, bytes]
--- a/src/plantainsail/entry/request.py
+++ b/src/plantainsail/entry/request.py
@@ -15,9 +15,6 @@
 # Callers take these for a promise that the request did not run.
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
 METHODS_WITHOUT_BODY = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
-# An upstream is told a little less than is left, so that its answer
-# still reaches the caller.
-MIN_TIME_LEFT_S = 0.002
 
 
 class RoutedRequest(NamedTuple):
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -109,7 +109,12 @@
         cost += SLOW_DISTURBS_COST_S * min(MAX_DISTURBED, load.long_running)
     if not need.is_long:
         return cost + SHORT_DISTURBS_COST_S * load.long_running
-    cost += LONG_CROWD_COST_S * load.long_running
+    return cost + _long_cost_s(view)
+
+
+def _long_cost_s(view: EngineView) -> float:
+    """Return how bad an engine is for a long stream beside others."""
+    cost = LONG_CROWD_COST_S * view.load.long_running
     if view.slowness >= SLOW_FROM:
         cost += SLOW_LONG_COST_S * min(1.0, (view.slowness - 1.0) / 0.3)
     return cost
@@ -152,11 +157,9 @@
         load = view.load
         held = load.memory_tokens + need.memory_tokens
         cost = MEMORY_COST_S * (held / view.traits.memory_tokens) ** 2
-        cost += LONG_CROWD_COST_S * load.long_running
+        cost += _long_cost_s(view)
         if not view.is_same_zone:
             cost += OTHER_ZONE_MOVE_COST_S
-        if view.slowness >= SLOW_FROM:
-            cost += SLOW_LONG_COST_S * min(1.0, (view.slowness - 1.0) / 0.3)
         if best is None or cost < best_cost:
             best, best_cost = view.upstream, cost
     return best
