Tell peers which engines say themselves that they leave

Cause: after an outage of the store, entries lag behind.

Ruled out: lost datagrams and late watches (a trial with each change logged: all six had the entry within 2 ms, as ready).

Change: an engine's own word is told to all at once and in heartbeats, holds for that run of the engine, and engines are asked until 3 s after an outage, or when no daemon has heard the store for 1.4 s.

--- a/src/plantainsail/entry/engine_watch.py
+++ b/src/plantainsail/entry/engine_watch.py
@@ -3,7 +3,7 @@
 An engine that was announced to leave says how long it stays.  While
 the configuration service is away nobody announces anything, and the
 engines themselves are asked whether they leave, by whoever has streams
-there.
+there, who tells the other daemons.
 """
 
 import asyncio
@@ -11,12 +11,14 @@
 from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
 from plantainsail.routing.model import RoutedUpstream
-from plantainsail.routing.registry import Departure
+from plantainsail.routing.registry import Departure, OwnWord
 
 # Reports are this old when they are given.
 REPORT_LAG_S = 0.62
 AWAY_INTERVAL_S = 0.3
 MAX_NOTICE_S = 30.0
+# No daemon had an answer of the service for so long.
+SILENCE_S = 1.4
 
 
 class EngineWatch:
@@ -31,7 +33,7 @@
         """Ask engines with own streams while nobody announces."""
         while True:
             await asyncio.sleep(AWAY_INTERVAL_S)
-            if not self.node.registry.is_service_away:
+            if not self._is_doubtful():
                 continue
             await asyncio.gather(
                 *(self._ask_if_leaving(one) for one in self._occupied())
@@ -59,6 +61,13 @@
             notice_ms=int(notice_s * 1000),
         )
 
+    def _is_doubtful(self) -> bool:
+        now_s = self.node.now_s()
+        age_s = self.node.in_force.age_s(now_s)
+        if age_s is not None and age_s > SILENCE_S:
+            return True
+        return self.node.registry.is_doubtful(now_s)
+
     def _occupied(self) -> list[RoutedUpstream]:
         found: list[RoutedUpstream] = []
         for identifier in self.node.picture.own:
@@ -75,9 +84,6 @@
         notice_s = 0.0
         if word.leaves_in_s is not None:
             notice_s = max(0.0, word.leaves_in_s - REPORT_LAG_S)
-        self.node.notices[upstream.identifier] = notice_s
-        registry = self.node.registry
-        leaving = upstream._replace(is_draining=True)
-        self.node.note_departures(
-            registry.put(leaving, registry.revision, now_s)
-        )
+        own_word = OwnWord(upstream.born_ms, now_s + notice_s)
+        self.node.take_own_word(upstream.identifier, own_word)
+        self.node.has_own_word.set()
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -19,10 +19,12 @@
     ListChange,
     LoadEntry,
     Member,
+    ToldLeaving,
     ToldSuspect,
     heartbeat_interval_s,
 )
 from plantainsail.routing.picture import PEER_SILENCE_S, UpstreamLoad
+from plantainsail.routing.registry import OwnWord
 from plantainsail.settings import split_address
 
 CHANGE_DELAY_S = 0.004
@@ -60,8 +62,12 @@
         )
 
     async def run(self) -> None:
-        """Send heartbeats to all and changes of load at once."""
-        await asyncio.gather(self._send_heartbeats(), self._send_changes())
+        """Send heartbeats to all, and at once what can't wait."""
+        await asyncio.gather(
+            self._send_heartbeats(),
+            self._send_changes(),
+            self._send_own_words(),
+        )
 
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
         """Take one message."""
@@ -161,6 +167,31 @@
             for member in self.node.members.live(self.node.now_s()):
                 self._send(member, message)
 
+    async def _send_own_words(self) -> None:
+        while True:
+            await self.node.has_own_word.wait()
+            self.node.has_own_word.clear()
+            message = self._message((), is_whole=False)
+            for member in self.node.members.live(self.node.now_s()):
+                self._send(member, message)
+
+    def _words_to_tell(self, now_s: float) -> tuple[ToldLeaving, ...]:
+        found: list[ToldLeaving] = []
+        words = self.node.registry.words_to_tell(now_s)
+        for identifier, word in words.items():
+            gone_in_ms = int((word.gone_s - now_s) * 1000)
+            found.append(ToldLeaving(identifier, word.born_ms, gone_in_ms))
+        return tuple(found)
+
+    def _take_leaving(
+        self, leaving: tuple[ToldLeaving, ...], now_s: float
+    ) -> None:
+        for told in leaving:
+            if told.identifier in self.node.registry.own_words:
+                continue
+            word = OwnWord(told.born_ms, now_s + told.gone_in_ms / 1000)
+            self.node.take_own_word(told.identifier, word)
+
     def _all_loads(self) -> tuple[LoadEntry, ...]:
         paces = self.node.paces.own(self.node.now_s())
         own = self.node.picture.own
@@ -204,6 +235,7 @@
             loads=loads,
             suspects=suspects,
             members=members,
+            leaving=self._words_to_tell(now_s),
         )
 
     def _send(self, member: Member, message: Heartbeat) -> None:
@@ -232,6 +264,7 @@
             if entry.read_tokens_s is not None:
                 node.read_rates.hear(entry.identifier, entry.read_tokens_s)
         deaths.take_told(node.quarantine, heartbeat.suspects, now_s)
+        self._take_leaving(heartbeat.leaving, now_s)
         self._take_freshness(heartbeat)
         self._fetch_if_behind(member, now_s)
 
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -17,7 +17,11 @@
 from plantainsail.routing.pace import PaceBook
 from plantainsail.routing.picture import LoadPicture
 from plantainsail.routing.reading import ReadRates
-from plantainsail.routing.registry import Departure, UpstreamRegistry
+from plantainsail.routing.registry import (
+    Departure,
+    OwnWord,
+    UpstreamRegistry,
+)
 from plantainsail.runtime.running import RunningWork
 
 
@@ -50,6 +54,8 @@
         self.load_changed = asyncio.Event()
         # Seconds from an engine's notice to its end, by its own word.
         self.notices: dict[str, float] = {}
+        # Set when other daemons should be told of it at once.
+        self.has_own_word = asyncio.Event()
 
     def now_s(self) -> float:
         """Return the clock that counts suspended time."""
@@ -92,6 +98,15 @@
         self.departures += departures
         self.departed.set()
 
+    def take_own_word(self, identifier: str, word: OwnWord) -> None:
+        """Note that an engine says itself that it leaves."""
+        now_s = self.now_s()
+        departures = self.registry.take_own_word(identifier, word, now_s)
+        departure = self.registry.departures.get(identifier)
+        if departure is not None:
+            self.notices[identifier] = word.gone_s - departure.at_s
+        self.note_departures(departures)
+
     def forget_gone_engines(self) -> None:
         """Drop what was learned of engines that are gone."""
         known = self.registry.entries.keys() | self.picture.own.keys()
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -48,6 +48,14 @@
     age_ms: int
 
 
+class ToldLeaving(NamedTuple):
+    """An upstream that said itself that it leaves, and how soon."""
+
+    identifier: str
+    born_ms: int
+    gone_in_ms: int
+
+
 class Heartbeat(NamedTuple):
     """One message between two daemons.
 
@@ -72,6 +80,7 @@
     loads: tuple[LoadEntry, ...]
     members: tuple[str, ...] = ()
     suspects: tuple[ToldSuspect, ...] = ()
+    leaving: tuple[ToldLeaving, ...] = ()
 
 
 class ListChange(NamedTuple):
--- a/src/plantainsail/routing/registry.py
+++ b/src/plantainsail/routing/registry.py
@@ -17,6 +17,10 @@
 # is also how long one that leaves may still get requests.
 RETURN_GRACE_S = 1.8
 SUSPECT_S = 0.7
+# Upstreams reach the service again this long after it is back.
+CATCH_UP_S = 3.0
+# An upstream often stays a little longer than it says.
+OWN_WORD_KEPT_S = 10.0
 MAX_SUSPECT_S = 5.0
 
 
@@ -27,6 +31,16 @@
     at_s: float
 
 
+class OwnWord(NamedTuple):
+    """What an upstream said itself: it leaves, and is gone by then.
+
+    It holds for one run of the upstream, told apart by its birth.
+    """
+
+    born_ms: int
+    gone_s: float
+
+
 class UpstreamRegistry:
     """All upstreams that are announced now, by identifier."""
 
@@ -35,6 +49,7 @@
         self.entries: dict[str, RoutedUpstream] = {}
         self.departures: dict[str, Departure] = {}
         self.vanished: dict[str, Departure] = {}
+        self.own_words: dict[str, OwnWord] = {}
         self.failures: dict[str, int] = {}
         self.suspect_until_s: dict[str, float] = {}
         self.service_back_s: float | None = None
@@ -79,6 +94,9 @@
         before = self.entries.get(upstream.identifier)
         if before is not None and before.born_ms != upstream.born_ms:
             self._forget(upstream.identifier)
+        if self._said_to_leave(upstream):
+            # Its entry may lag behind its own word.
+            upstream = upstream._replace(is_draining=True)
         self.entries[upstream.identifier] = upstream
         self.vanished.pop(upstream.identifier, None)
         if not upstream.is_draining:
@@ -101,6 +119,41 @@
             return []
         return self._depart(upstream, now_s)
 
+    def take_own_word(
+        self, identifier: str, word: OwnWord, now_s: float
+    ) -> list[Departure]:
+        """Note that an upstream says itself that it leaves."""
+        upstream = self.entries.get(identifier)
+        if upstream is None:
+            lapsed = self.vanished.get(identifier)
+            upstream = None if lapsed is None else lapsed.upstream
+        if upstream is None or upstream.born_ms != word.born_ms:
+            return []
+        self.own_words[identifier] = word
+        if identifier in self.vanished:
+            del self.vanished[identifier]
+            return self._depart(upstream, now_s)
+        return self.put(upstream, self.revision, now_s)
+
+    def words_to_tell(self, now_s: float) -> dict[str, OwnWord]:
+        """Return what peers should hear; drop what is long past."""
+        for identifier, word in list(self.own_words.items()):
+            if now_s > word.gone_s + OWN_WORD_KEPT_S:
+                del self.own_words[identifier]
+        return self.own_words
+
+    def is_doubtful(self, now_s: float) -> bool:
+        """Return whether upstreams may leave without an entry's word.
+
+        So it is while the service is away, and shortly after, until
+        all upstreams have reached it again.
+        """
+        if self.is_service_away:
+            return True
+        if self.service_back_s is None:
+            return False
+        return now_s - self.service_back_s < CATCH_UP_S
+
     def sweep(self, now_s: float) -> list[Departure]:
         """Return entries that vanished and did not come back."""
         departures: list[Departure] = []
@@ -145,6 +198,10 @@
         """Return whether an upstream failed a short time ago."""
         return self.suspect_until_s.get(identifier, 0.0) > now_s
 
+    def _said_to_leave(self, upstream: RoutedUpstream) -> bool:
+        word = self.own_words.get(upstream.identifier)
+        return word is not None and word.born_ms == upstream.born_ms
+
     def _is_outage_near(self, now_s: float) -> bool:
         if self.is_service_away:
             return True
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -6,7 +6,9 @@
 import pytest
 
 from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.gossip import CHANGE_MARK, DECODER, ENCODER
+from plantainsail.entry.mover import CopyEnd, EngineWord
 from plantainsail.routing.members import ListChange
 from plantainsail.routing.picture import UpstreamLoad
 from tests.standins.routed import (
@@ -209,3 +211,46 @@
     await until(lambda: not registry.is_usable("u0"))
     assert [one.written[0].is_draining for one in told] == [True]
     assert pair.daemons[1].gossip.fetching is fetched
+
+
+class LeavingMover:
+    """Knows one engine, which says that it leaves."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    async def copy_run(
+        self, source: str, request: str, target: str, *, is_final: bool
+    ) -> CopyEnd:
+        """Copy nothing."""
+        return CopyEnd(404)
+
+    async def ask(self, upstream: str) -> EngineWord | None:
+        """Say that the engine leaves soon."""
+        self.asked += 1
+        return EngineWord(is_draining=True, leaves_in_s=2.0)
+
+    def continue_value(self, source: str, handle: str) -> bytes:
+        """Return what names a copy."""
+        return f"{source}/{handle}".encode()
+
+
+async def test_an_engine_s_own_word_reaches_those_that_did_not_ask(
+    pair: Pair,
+) -> None:
+    """Found on a day with an outage.
+
+    One daemon had asked; streams of the others were cut.
+    """
+    asking, other = (daemon.node for daemon in pair.daemons)
+    mover = LeavingMover()
+    watch = EngineWatch(asking, mover)
+    asking.picture.add("u0", UpstreamLoad(running=1))
+    asking.registry.service_lost()
+    watching = asyncio.create_task(watch.run())
+    await until(lambda: not other.registry.is_usable("u0"))
+    watching.cancel()
+    assert mover.asked == 1
+    departure = other.registry.departures["u0"]
+    gone_s = departure.at_s + other.notices["u0"]
+    assert abs(gone_s - asking.registry.own_words["u0"].gone_s) < 0.5
--- a/tests/test_routing_registry.py
+++ b/tests/test_routing_registry.py
@@ -4,8 +4,11 @@
 
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.registry import (
+    CATCH_UP_S,
     LAPSED_WITHIN_S,
+    OWN_WORD_KEPT_S,
     RETURN_GRACE_S,
+    OwnWord,
     UpstreamRegistry,
 )
 
@@ -106,3 +109,55 @@
     assert registry.suspect_until_s["one"] - first_s > first_s
     registry.note_success("one")
     assert not registry.is_suspect("one", first_s)
+
+
+def test_an_upstream_s_own_word_outlives_its_entry(
+    registry: UpstreamRegistry,
+) -> None:
+    """Found on a day with an outage.
+
+    After it, an engine that had said itself that it leaves wrote its
+    entry once more as ready.
+    """
+    departures = registry.take_own_word("one", OwnWord(0, 3.0), 1.0)
+    assert [one.upstream.identifier for one in departures] == ["one"]
+    assert registry.put(upstream("one"), 11, 1.1) == []
+    assert names(registry) == ["two"]
+
+
+def test_an_own_word_holds_for_one_run(registry: UpstreamRegistry) -> None:
+    assert registry.take_own_word("one", OwnWord(7, 3.0), 1.0) == []
+    assert registry.take_own_word("gone", OwnWord(0, 3.0), 1.0) == []
+    registry.take_own_word("one", OwnWord(0, 3.0), 1.0)
+    registry.put(upstream("one", born_ms=9), 11, 2.0)
+    assert names(registry) == ["one", "two"]
+
+
+def test_a_lapsed_upstream_may_say_that_it_leaves(
+    registry: UpstreamRegistry,
+) -> None:
+    registry.service_lost()
+    registry.remove("one", 11, 1.0)
+    assert names(registry) == ["one", "two"]
+    departures = registry.take_own_word("one", OwnWord(0, 3.0), 1.2)
+    assert [one.upstream.identifier for one in departures] == ["one"]
+    assert names(registry) == ["two"]
+    assert registry.sweep(1.0 + RETURN_GRACE_S) == []
+
+
+def test_own_words_are_told_for_a_while(registry: UpstreamRegistry) -> None:
+    word = OwnWord(0, 3.0)
+    registry.take_own_word("one", word, 1.0)
+    assert registry.words_to_tell(4.0) == {"one": word}
+    assert registry.words_to_tell(3.1 + OWN_WORD_KEPT_S) == {}
+
+
+def test_entries_are_doubtful_until_all_caught_up(
+    registry: UpstreamRegistry,
+) -> None:
+    assert not registry.is_doubtful(1.0)
+    registry.service_lost()
+    assert registry.is_doubtful(2.0)
+    registry.service_regained(4.0)
+    assert registry.is_doubtful(3.9 + CATCH_UP_S)
+    assert not registry.is_doubtful(4.1 + CATCH_UP_S)
