Outlive a connection that is given up while a call waits for it

While the call awaited the connection to the stopped executor, the heartbeats gave that connection up; awaiting the closed channel raised grpc.aio.UsageError, which nobody took.

Ruled out: shared ports and late fixtures (the trace names the await).

Change: the wait goes on with the connection that took its place.

--- a/src/plantainsail/runtime/ticket_links.py
+++ b/src/plantainsail/runtime/ticket_links.py
@@ -22,6 +22,7 @@
 
 GRPC_FAILURE = grpc.RpcError
 CONNECT_S = 1.0
+GIVEN_UP_PAUSE_S = 0.01
 
 
 class Unreachable(NamedTuple):
@@ -44,14 +45,25 @@
         is awaited for a moment; nothing is sent before it stands, and
         if it doesn't, the call fails as it would have without.
         """
-        channel = self.links.channel(address)
         try:
             async with asyncio.timeout(CONNECT_S):
-                await channel.channel_ready()
+                await self._connected(address)
         except TimeoutError:
             pass
+        channel = self.links.channel(address)
         return tickets_pb2_grpc.TicketsStub(channel)  # type: ignore[no-untyped-call]
 
+    async def _connected(self, address: str) -> None:
+        while True:
+            try:
+                await self.links.channel(address).channel_ready()
+            except grpc.aio.UsageError:
+                # This channel was given up meanwhile; another one may
+                # stand in its place.
+                await asyncio.sleep(GIVEN_UP_PAUSE_S)
+                continue
+            return
+
     async def run(
         self,
         executor: Party,
