--- a/src/plantainsail/entry/engine_watch.py
+++ b/src/plantainsail/entry/engine_watch.py
@@ -90,5 +90,5 @@
         if word.leaves_in_s is not None:
             notice_s = max(0.0, word.leaves_in_s - REPORT_LAG_S)
         own_word = OwnWord(upstream.born_ms, now_s + notice_s)
-        self.node.take_own_word(upstream.identifier, own_word)
+        self.node.take_own_word(upstream.identifier, own_word, "its own word")
         self.node.has_own_word.set()
--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -70,7 +70,9 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             now_s = self.node.now_s()
-            self.node.note_departures(self.node.registry.sweep(now_s))
+            self.node.note_departures(
+                self.node.registry.sweep(now_s), "lapsed"
+            )
             self.node.forget_gone_engines()
             age_s = self.node.in_force.age_s(now_s)
             if not is_read_due(age_s, self.node.members.rank(now_s)):
@@ -107,7 +109,7 @@
         departures = self.node.registry.replace(
             published.upstreams, published.revision, now_s
         )
-        self.node.note_departures(departures)
+        self.node.note_departures(departures, "read")
         return published.revision
 
     async def _read_configuration(self) -> None:
@@ -148,7 +150,7 @@
                 departures = registry.put(
                     change.upstream, change.revision, now_s
                 )
-            self.node.note_departures(departures)
+            self.node.note_departures(departures, "watch")
         if changes.upstreams:
             self._tell(after, changes)
 
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -123,7 +123,7 @@
             departures += registry.put(upstream, change.revision, now_s)
         for identifier in change.removed:
             departures += registry.remove(identifier, change.revision, now_s)
-        self.node.note_departures(departures)
+        self.node.note_departures(departures, change.address)
 
     def _greet(self, member: Member) -> None:
         """Answer a daemon at once that is new or began anew.
@@ -183,14 +183,12 @@
             found.append(ToldLeaving(identifier, word.born_ms, gone_in_ms))
         return tuple(found)
 
-    def _take_leaving(
-        self, leaving: tuple[ToldLeaving, ...], now_s: float
-    ) -> None:
-        for told in leaving:
+    def _take_leaving(self, heartbeat: Heartbeat, now_s: float) -> None:
+        for told in heartbeat.leaving:
             if told.identifier in self.node.registry.own_words:
                 continue
             word = OwnWord(told.born_ms, now_s + told.gone_in_ms / 1000)
-            self.node.take_own_word(told.identifier, word)
+            self.node.take_own_word(told.identifier, word, heartbeat.address)
 
     def _all_loads(self) -> tuple[LoadEntry, ...]:
         paces = self.node.paces.own(self.node.now_s())
@@ -264,7 +262,7 @@
             if entry.read_tokens_s is not None:
                 node.read_rates.hear(entry.identifier, entry.read_tokens_s)
         deaths.take_told(node.quarantine, heartbeat.suspects, now_s)
-        self._take_leaving(heartbeat.leaving, now_s)
+        self._take_leaving(heartbeat, now_s)
         self._take_freshness(heartbeat)
         self._fetch_if_behind(member, now_s)
 
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -83,8 +83,13 @@
             self.budgets[service] = budget
         return budget
 
-    def note_departures(self, departures: list[Departure]) -> None:
-        """Tell those who move running work about leaving upstreams."""
+    def note_departures(
+        self, departures: list[Departure], origin: str
+    ) -> None:
+        """Tell those who move running work about leaving upstreams.
+
+        `origin` says in the log by whose word they leave.
+        """
         if not departures:
             return
         for departure in departures:
@@ -94,18 +99,21 @@
                 address=departure.upstream.address,
                 service=departure.upstream.service,
                 revision=self.registry.revision,
+                origin=origin,
             )
         self.departures += departures
         self.departed.set()
 
-    def take_own_word(self, identifier: str, word: OwnWord) -> None:
+    def take_own_word(
+        self, identifier: str, word: OwnWord, origin: str
+    ) -> None:
         """Note that an engine says itself that it leaves."""
         now_s = self.now_s()
         departures = self.registry.take_own_word(identifier, word, now_s)
         departure = self.registry.departures.get(identifier)
         if departure is not None:
             self.notices[identifier] = word.gone_s - departure.at_s
-        self.note_departures(departures)
+        self.note_departures(departures, origin)
 
     def forget_gone_engines(self) -> None:
         """Drop what was learned of engines that are gone."""
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -223,15 +223,28 @@
     def _log_send(
         self, request: RoutedRequest, upstream: RoutedUpstream, sent: Sent
     ) -> None:
-        if sent.ending is Ending.ANSWERED:
+        node = self.node
+        suspect = node.registry.failures.get(upstream.identifier, 0)
+        if sent.ending is not Ending.ANSWERED:
+            node.log.info(
+                "send failed",
+                request=request.identifier,
+                upstream=upstream.identifier,
+                reason=sent.reason,
+                outcome=sent.ending.name.lower(),
+                suspect=suspect,
+            )
             return
-        self.node.log.info(
-            "send failed",
+        load = node.picture.load_of(upstream.identifier, node.now_s())
+        node.log.info(
+            "send answered",
             request=request.identifier,
             upstream=upstream.identifier,
-            reason=sent.reason,
-            outcome=sent.ending.name.lower(),
-            suspect=self.node.registry.failures.get(upstream.identifier, 0),
+            status=sent.status,
+            running=load.running,
+            suspect=suspect,
+            after_ms=int((node.now_s() - request.arrived_s) * 1000),
+            configuration=request.configuration_version,
         )
 
     def _count(self, request: RoutedRequest, outcome: str) -> None:
--- a/src/plantainsail/entry/snapshot.py
+++ b/src/plantainsail/entry/snapshot.py
@@ -86,11 +86,10 @@
             if snapshot.age_ms >= 0:
                 as_of_s = asked_s - snapshot.age_ms / 1000
             self.put_in_force(snapshot.configuration, as_of_s, address)
-        self.node.note_departures(
-            self.node.registry.replace(
-                snapshot.upstreams, snapshot.revision, self.node.now_s()
-            )
+        departures = self.node.registry.replace(
+            snapshot.upstreams, snapshot.revision, self.node.now_s()
         )
+        self.node.note_departures(departures, address)
 
     async def _get(self, request: bytes, _: Any) -> bytes:
         node = self.node
