Give back what a stream occupied whatever ends it; go on at the source

- A caller that closes right after its last event cancelled the clean-up while that awaited the end of a move.
- A target that died with the copy lost the stream, though its source had stopped and kept the memory.
The source is asked now if the target refuses connections; one that is merely silent may still run.

Ruled out: a late answer of the copy itself (the leak needs no copy).

--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/entry/deaths.py
@@ -42,6 +42,19 @@
     return False
 
 
+async def is_gone(upstream: RoutedUpstream) -> bool:
+    """Return whether an upstream's process surely has ended.
+
+    One that is silent may only be cut off, and still run.
+    """
+    try:
+        connection = await SingleUseConnection.open(upstream.address, PROBE_S)
+    except ConnectError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    connection.abort()
+    return False
+
+
 def to_tell(quarantine: Quarantine, now_s: float) -> tuple[ToldSuspect, ...]:
     """Return the newest suspects for a heartbeat."""
     told: list[ToldSuspect] = []
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
+from typing import NamedTuple
 
+from plantainsail.entry import deaths
 from plantainsail.entry.caller import end_to_end
 from plantainsail.entry.dialect import read_counts
 from plantainsail.entry.evacuation import Departing, Evacuation, Leg
@@ -44,6 +46,13 @@
     """The run is lost, or its answer can't be trusted."""
 
 
+class Taken(NamedTuple):
+    """The engine that answered where a run should go on."""
+
+    upstream: RoutedUpstream
+    head: AnswerHead
+
+
 class Generation:
     """One run and its caller."""
 
@@ -101,10 +110,19 @@
         self.node.load_changed.set()
 
     async def close(self) -> None:
-        """End whatever still runs for this generation."""
-        if self.evacuation_task is not None:
-            self.evacuation_task.cancel()
-            await asyncio.wait((self.evacuation_task,))
+        """End whatever still runs for this generation.
+
+        What it occupied is given back also where this is cancelled,
+        as it is when the caller closes right after the last event.
+        """
+        try:
+            if self.evacuation_task is not None:
+                self.evacuation_task.cancel()
+                await asyncio.wait((self.evacuation_task,))
+        finally:
+            self._give_back()
+
+    def _give_back(self) -> None:
         if self.connection is not None:
             self.connection.abort()
         self.vacate()
@@ -280,24 +298,38 @@
         assert self.connection is not None
         self.connection.abort()
         self.legs += 1
-        upstream = leg.upstream
-        try:
-            head = await self._open_leg(leg, upstream)
-            if is_not_executed(head, self.node.dialect) and leg.source:
-                # The source keeps the memory of a run that it stopped.
-                upstream = leg.source
-                kept = leg._replace(connection=None)
-                head = await self._open_leg(kept, upstream)
-        except ConnectError as error:
-            raise LostError("the next engine can't be reached") from error
+        taken = await self._take_up(leg)
+        head = taken.head
         if head.status != HTTP_OK:
             raise LostError(f"the copy was not taken: {head.status}")
         if not is_sound_head(head, self.request, self.node.dialect):
             raise LostError("not its answer")
-        self._settle(upstream)
-        if not self.node.registry.is_usable(upstream.identifier):
+        self._settle(taken.upstream)
+        if not self.node.registry.is_usable(taken.upstream.identifier):
             self.leave(self.node.now_s())
 
+    async def _take_up(self, leg: Leg) -> Taken:
+        """Open the next leg at its target, or else at its source.
+
+        The source keeps the memory of a run that it stopped.  It is
+        asked only if the target surely does not run the request: it
+        said so, or its process is gone.
+        """
+        try:
+            head = await self._open_leg(leg, leg.upstream)
+            is_refused = is_not_executed(head, self.node.dialect)
+            if not is_refused or leg.source is None:
+                return Taken(leg.upstream, head)
+        except (ConnectError, LostError) as error:
+            is_gone = await deaths.is_gone(leg.upstream)
+            if leg.source is None or not is_gone:
+                raise LostError("the copy can't be reached") from error
+        kept = leg._replace(connection=None)
+        try:
+            return Taken(leg.source, await self._open_leg(kept, leg.source))
+        except ConnectError as error:
+            raise LostError("no engine has the run any more") from error
+
     def _settle(self, upstream: RoutedUpstream) -> None:
         """Note on which engine the run goes on."""
         evacuation, self.evacuation = self.evacuation, None
--- /dev/null
+++ b/tests/standins/moving_engines.py
@@ -0,0 +1,334 @@
+"""Engines that run streams, copy them to each other and fail at it.
+
+A run belongs to a request and has one place at a time.  A copy holds
+the memory of a run up to some event, and takes room at its engine until
+it is used or freed.  Each call can be made to fail in one of the ways
+that a network and an engine have.
+"""
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from plantainsail.entry.mover import CopyEnd, EngineWord
+from plantainsail.routing.model import RoutedUpstream
+from tests.standins.routed import (
+    NOT_EXECUTED,
+    STREAM_END,
+    STREAM_HEAD,
+    SeenRequest,
+    StandInUpstream,
+    chunk,
+    event,
+    reset,
+)
+
+EVENTS = 30
+EVENT_S = 0.006
+CONTINUE = "plantainsail-continue-from"
+EXPECTED = "plantainsail-expected-upstream"
+# What passes without an answer until a caller stops waiting for it.
+SILENT_S = 0.12
+LATE_S = 0.05
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_UNAVAILABLE = 503
+
+
+class CallFault(enum.Enum):
+    """What befalls one call that copies a run."""
+
+    NONE = enum.auto()
+    LOST = enum.auto()
+    UNHEARD = enum.auto()
+    LATE = enum.auto()
+    REPEATED = enum.auto()
+    REFUSED = enum.auto()
+    GONE = enum.auto()
+
+
+class TakeFault(enum.Enum):
+    """What befalls the request that goes on from a copy."""
+
+    NONE = enum.auto()
+    REFUSED = enum.auto()
+    CLOSED = enum.auto()
+    CUT = enum.auto()
+
+
+class Step(enum.Enum):
+    """When an engine dies."""
+
+    NEVER = enum.auto()
+    FIRST_ASKED = enum.auto()
+    FIRST_MADE = enum.auto()
+    FINAL_ASKED = enum.auto()
+    FINAL_MADE = enum.auto()
+    TAKEN = enum.auto()
+
+
+class Scenario(NamedTuple):
+    """Everything that goes wrong in one play."""
+
+    first: CallFault = CallFault.NONE
+    final: CallFault = CallFault.NONE
+    take: TakeFault = TakeFault.NONE
+    source_dies: Step = Step.NEVER
+    target_dies: Step = Step.NEVER
+    ignores_close: bool = False
+    leaves_at: int = 5
+    leaves_in_s: float = 2.0
+
+    @property
+    def is_harmless(self) -> bool:
+        """Return whether the stream must be whole all the same."""
+        is_told = self.final in (CallFault.NONE, CallFault.LATE)
+        return (
+            self.first is CallFault.NONE
+            and is_told
+            and self.take in (TakeFault.NONE, TakeFault.REFUSED)
+            and self.source_dies is Step.NEVER
+            and self.target_dies is Step.NEVER
+        )
+
+
+class Run:
+    """One request at one engine."""
+
+    def __init__(self, made: int) -> None:
+        self.made = made
+        self.is_stopped = False
+        self.is_over = False
+        self.writer: asyncio.StreamWriter | None = None
+
+
+class Copy(NamedTuple):
+    """The memory of a run as it was after some events."""
+
+    request: str
+    made: int
+
+
+class Leg:
+    """A run that began to generate somewhere.
+
+    `made_beside` counts what it made once the next leg had begun.
+    """
+
+    def __init__(self, engine: str, first: int) -> None:
+        self.engine = engine
+        self.first = first
+        self.made_beside = 0
+        self.is_over = False
+
+
+class MovingEngine:
+    """One engine; `room` is how many runs and copies it holds."""
+
+    def __init__(self, name: str, fleet: "MovingEngines") -> None:
+        self.name = name
+        self.fleet = fleet
+        self.room = 4
+        self.runs: dict[str, Run] = {}
+        self.copies: dict[str, Copy] = {}
+        self.server = StandInUpstream(name, self.serve)
+        self.server.ignores_close = fleet.scenario.ignores_close
+        self.is_dead = False
+
+    def has_room(self) -> bool:
+        """Return whether one more run or copy fits."""
+        running = sum(not run.is_over for run in self.runs.values())
+        return running + len(self.copies) < self.room
+
+    def die(self) -> None:
+        """End everything that runs here, in the middle of it."""
+        self.is_dead = True
+        self.server.stop()
+        for run in self.runs.values():
+            run.is_stopped = True
+            if run.writer is not None:
+                reset(run.writer)
+        self.copies.clear()
+
+    async def serve(
+        self, request: SeenRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Run a request from its beginning or from a copy."""
+        name = request.headers["plantainsail-request-id"]
+        value = request.headers.get(CONTINUE)
+        if self.is_dead:
+            reset(writer)
+            return
+        if value is None:
+            self.fleet.fresh_runs += 1
+            await self._run(name, 0, writer)
+            return
+        first = int(request.headers["last-event-id"]) + 1
+        if not await self._take(name, value, writer):
+            return
+        await self._run(name, first, writer)
+
+    async def _take(
+        self, name: str, value: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Use up a copy, or the memory of a run stopped here."""
+        fleet = self.fleet
+        handle = value.rpartition("/")[2]
+        kept = self.runs.get(name)
+        if self.copies.pop(handle, None) is None:
+            if kept is None or not kept.is_stopped or handle in fleet.used:
+                await _say(writer, NOT_EXECUTED)
+                return False
+        elif fleet.scenario.take is TakeFault.REFUSED:
+            await _say(writer, NOT_EXECUTED)
+            return False
+        elif fleet.scenario.take is TakeFault.CLOSED:
+            writer.close()
+            return False
+        fleet.used.add(handle)
+        return True
+
+    async def _run(
+        self, name: str, first: int, writer: asyncio.StreamWriter
+    ) -> None:
+        run = Run(first)
+        run.writer = writer
+        self.runs[name] = run
+        fleet = self.fleet
+        leg = Leg(self.name, first)
+        fleet.legs.append(leg)
+        try:
+            writer.write(STREAM_HEAD)
+            if len(fleet.legs) > 1:
+                self._begin_again(run)
+            await self._generate(run, leg, writer)
+        finally:
+            run.is_over = leg.is_over = True
+
+    def _begin_again(self, run: Run) -> None:
+        fleet = self.fleet
+        fleet.reach(Step.TAKEN)
+        if fleet.scenario.take is TakeFault.CUT and run.writer is not None:
+            run.is_stopped = True
+            reset(run.writer)
+
+    async def _generate(
+        self, run: Run, leg: Leg, writer: asyncio.StreamWriter
+    ) -> None:
+        while run.made < EVENTS and not run.is_stopped:
+            data = chunk(event(run.made))
+            run.made += 1
+            leg.made_beside += leg is not self.fleet.legs[-1]
+            await self._say_if_heard(writer, data)
+            await asyncio.sleep(EVENT_S)
+        if not run.is_stopped:
+            await self._say_if_heard(writer, STREAM_END)
+
+    async def _say_if_heard(
+        self, writer: asyncio.StreamWriter, data: bytes
+    ) -> None:
+        try:
+            await _say(writer, data)
+        except ConnectionError:
+            if not self.fleet.scenario.ignores_close:
+                raise
+
+
+class MovingEngines:
+    """A few engines and the calls by which they copy runs."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.engines = [MovingEngine(f"e{n}", self) for n in range(3)]
+        self.by_address: dict[str, MovingEngine] = {}
+        self.legs: list[Leg] = []
+        self.used: set[str] = set()
+        self.fresh_runs = 0
+        self.handles = 0
+        self.source = ""
+        self.target = ""
+
+    async def start(self) -> tuple[RoutedUpstream, ...]:
+        """Start all engines; return the entries to publish."""
+        entries: list[RoutedUpstream] = []
+        for engine in self.engines:
+            entry = await engine.server.start()
+            self.by_address[entry.address] = engine
+            entries.append(entry)
+        return tuple(entries)
+
+    def stop(self) -> None:
+        """Stop all engines."""
+        for engine in self.engines:
+            engine.server.stop()
+
+    def reach(self, step: Step) -> None:
+        """Let the engines die whose time has come."""
+        if self.scenario.source_dies is step:
+            self.by_address[self.source].die()
+        if self.scenario.target_dies is step:
+            self.by_address[self.target].die()
+
+    async def copy_run(
+        self, source: str, request: str, target: str, *, is_final: bool
+    ) -> CopyEnd:
+        """Make one copy as the scenario has it."""
+        self.source, self.target = source, target
+        self.reach(Step.FINAL_ASKED if is_final else Step.FIRST_ASKED)
+        fault = self.scenario.final if is_final else self.scenario.first
+        if fault is CallFault.REFUSED:
+            return CopyEnd(HTTP_UNAVAILABLE)
+        if fault is CallFault.GONE:
+            return CopyEnd(HTTP_NOT_FOUND)
+        if fault is CallFault.LOST:
+            await asyncio.sleep(SILENT_S)
+            return CopyEnd(0)
+        made = self._copy(source, request, target, is_final=is_final)
+        if fault is CallFault.REPEATED:
+            made = self._copy(source, request, target, is_final=is_final)
+        self.reach(Step.FINAL_MADE if is_final else Step.FIRST_MADE)
+        if fault is CallFault.LATE:
+            await asyncio.sleep(LATE_S)
+        if fault is CallFault.UNHEARD:
+            await asyncio.sleep(SILENT_S)
+            return CopyEnd(0)
+        return made
+
+    async def ask(self, upstream: str) -> EngineWord | None:
+        """Say how long an engine that leaves stays."""
+        return EngineWord(True, self.scenario.leaves_in_s)
+
+    def continue_value(self, source: str, handle: str) -> bytes:
+        """Return what names a copy."""
+        return f"{source}/{handle}".encode()
+
+    def _copy(
+        self, source: str, request: str, target: str, *, is_final: bool
+    ) -> CopyEnd:
+        giver, taker = self.by_address[source], self.by_address[target]
+        run = giver.runs.get(request)
+        if giver.is_dead:
+            return CopyEnd(0)
+        if run is None or (run.is_over and not run.is_stopped):
+            return CopyEnd(HTTP_NOT_FOUND)
+        if is_final:
+            run.is_stopped = True
+        known = [
+            handle
+            for handle, copy in taker.copies.items()
+            if copy.request == request
+        ]
+        if taker.is_dead or not (known or taker.has_room()):
+            return CopyEnd(HTTP_UNAVAILABLE, self._next_handle())
+        handle = known[0] if known else self._next_handle()
+        taker.copies[handle] = Copy(request, run.made)
+        return CopyEnd(HTTP_OK, handle)
+
+    def _next_handle(self) -> str:
+        self.handles += 1
+        return f"h{self.handles}"
+
+
+async def _say(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(data)
+    await writer.drain()
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -80,6 +80,8 @@
         self.serve = serve
         self.seen: list[SeenRequest] = []
         self.closed_by_peer = asyncio.Event()
+        # Not every upstream ends what nobody waits for any more.
+        self.ignores_close = False
         self.server: asyncio.Server | None = None
         self.address = ""
 
@@ -108,6 +110,8 @@
             )
             if not serving.done():
                 self.closed_by_peer.set()
+            if self.ignores_close:
+                await serving
             serving.cancel()
             leaving.cancel()
             await asyncio.gather(serving, leaving, return_exceptions=True)
