Send less to engines that cut streams before their first event

Change: each such cut counts, over all daemons and 10 s; the engine is avoided for 0.7 s, doubled by each further cut up to 5 s, unless all engines are.

Ruled out: sending the request elsewhere (it may have run).

--- a/src/plantainsail/entry/engine_watch.py
+++ b/src/plantainsail/entry/engine_watch.py
@@ -91,4 +91,4 @@
             notice_s = max(0.0, word.leaves_in_s - REPORT_LAG_S)
         own_word = OwnWord(upstream.born_ms, now_s + notice_s)
         self.node.take_own_word(upstream.identifier, own_word, "its own word")
-        self.node.has_own_word.set()
+        self.node.has_news.set()
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -19,6 +19,7 @@
     ListChange,
     LoadEntry,
     Member,
+    ToldAvoided,
     ToldLeaving,
     ToldSuspect,
     heartbeat_interval_s,
@@ -66,7 +67,7 @@
         await asyncio.gather(
             self._send_heartbeats(),
             self._send_changes(),
-            self._send_own_words(),
+            self._send_news(),
         )
 
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
@@ -167,10 +168,10 @@
             for member in self.node.members.live(self.node.now_s()):
                 self._send(member, message)
 
-    async def _send_own_words(self) -> None:
+    async def _send_news(self) -> None:
         while True:
-            await self.node.has_own_word.wait()
-            self.node.has_own_word.clear()
+            await self.node.has_news.wait()
+            self.node.has_news.clear()
             message = self._message((), is_whole=False)
             for member in self.node.members.live(self.node.now_s()):
                 self._send(member, message)
@@ -183,6 +184,13 @@
             found.append(ToldLeaving(identifier, word.born_ms, gone_in_ms))
         return tuple(found)
 
+    def _avoided_to_tell(self, now_s: float) -> tuple[ToldAvoided, ...]:
+        avoided = self.node.avoidance.to_tell(now_s)
+        found: list[ToldAvoided] = []
+        for identifier, left_s in avoided.items():
+            found.append(ToldAvoided(identifier, int(left_s * 1000)))
+        return tuple(found)
+
     def _take_leaving(self, heartbeat: Heartbeat, now_s: float) -> None:
         for told in heartbeat.leaving:
             if told.identifier in self.node.registry.own_words:
@@ -234,6 +242,7 @@
             suspects=suspects,
             members=members,
             leaving=self._words_to_tell(now_s),
+            avoided=self._avoided_to_tell(now_s),
         )
 
     def _send(self, member: Member, message: Heartbeat) -> None:
@@ -263,6 +272,9 @@
                 node.read_rates.hear(entry.identifier, entry.read_tokens_s)
         deaths.take_told(node.quarantine, heartbeat.suspects, now_s)
         self._take_leaving(heartbeat, now_s)
+        for told in heartbeat.avoided:
+            for_s = told.for_ms / 1000
+            node.avoidance.hear(told.identifier, for_s, now_s)
         self._take_freshness(heartbeat)
         self._fetch_if_behind(member, now_s)
 
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -10,6 +10,7 @@
 from plantainsail.identity import NONCE_BITS
 from plantainsail.logs import get_logger
 from plantainsail.policy.quarantine import Quarantine
+from plantainsail.routing.avoidance import Avoidance
 from plantainsail.routing.budget import RepeatBudget
 from plantainsail.routing.in_force import ConfigurationInForce
 from plantainsail.routing.members import Members
@@ -40,6 +41,7 @@
         self.registry = UpstreamRegistry()
         self.picture = LoadPicture()
         self.paces = PaceBook()
+        self.avoidance = Avoidance()
         self.quarantine = Quarantine()
         self.read_rates = ReadRates()
         self.members = Members(settings.peer_address, settings.seed_addresses)
@@ -54,8 +56,8 @@
         self.load_changed = asyncio.Event()
         # Seconds from an engine's notice to its end, by its own word.
         self.notices: dict[str, float] = {}
-        # Set when other daemons should be told of it at once.
-        self.has_own_word = asyncio.Event()
+        # Set when other daemons should be told of engines at once.
+        self.has_news = asyncio.Event()
 
     def now_s(self) -> float:
         """Return the clock that counts suspended time."""
@@ -115,11 +117,24 @@
             self.notices[identifier] = word.gone_s - departure.at_s
         self.note_departures(departures, origin)
 
+    def note_cut(self, identifier: str) -> None:
+        """Note an engine that cut a stream before its first event."""
+        now_s = self.now_s()
+        self.avoidance.note_cut(identifier, now_s)
+        self.has_news.set()
+        self.log.warning(
+            "engine avoided",
+            upstream=identifier,
+            for_ms=int((self.avoidance.until_s[identifier] - now_s) * 1000),
+            cuts=len(self.avoidance.cuts[identifier]),
+        )
+
     def forget_gone_engines(self) -> None:
         """Drop what was learned of engines that are gone."""
         known = self.registry.entries.keys() | self.picture.own.keys()
         self.paces.forget_except(set(known))
         self.read_rates.forget_except(set(known))
+        self.avoidance.forget_except(set(known))
 
     def caller_limits(self) -> CallerLimits:
         """Return what callers may send, by what is in force."""
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -133,6 +133,8 @@
         except (LostError, CutShortError) as error:
             self._log_end(generation, str(error))
             self._look_for_death(generation)
+            if not generation.has_begun:
+                self._avoid(generation)
             if not request.caller.is_started:
                 failure = Failure(Code.UPSTREAM_TRUNCATED, str(error))
                 await self._refuse(request, failure)
@@ -159,6 +161,13 @@
         self.questions.add(task)
         task.add_done_callback(self.questions.discard)
 
+    def _avoid(self, generation: Generation) -> None:
+        """Send less to an engine that cut a stream before its start."""
+        upstream = generation.upstream
+        assert upstream is not None
+        if upstream.identifier not in self.node.registry.departures:
+            self.node.note_cut(upstream.identifier)
+
     async def _note_if_dead(
         self, request: RoutedRequest, upstream: RoutedUpstream
     ) -> None:
--- a/src/plantainsail/entry/views.py
+++ b/src/plantainsail/entry/views.py
@@ -15,6 +15,7 @@
     }
     known = [pause_s for pause_s in usual_s.values() if pause_s]
     fastest_s = min(known) if known else 0.0
+    avoided = _avoided(node, upstreams, now_s)
     views: list[EngineView] = []
     for upstream in upstreams:
         identifier = upstream.identifier
@@ -27,7 +28,8 @@
                 _slowness(own_s, fastest_s),
                 _now_slowness(node.paces.recent_s(identifier, now_s), own_s),
                 node.read_rates.rate(identifier),
-                node.registry.is_suspect(identifier, now_s),
+                identifier in avoided
+                or node.registry.is_suspect(identifier, now_s),
                 _is_same_zone(node, upstream),
             )
         )
@@ -35,6 +37,17 @@
     return views
 
 
+def _avoided(
+    node: EntryNode, upstreams: list[RoutedUpstream], now_s: float
+) -> set[str]:
+    """Return what to avoid, which is nothing if that would be all."""
+    avoided: set[str] = set()
+    for upstream in upstreams:
+        if node.avoidance.is_avoided(upstream.identifier, now_s):
+            avoided.add(upstream.identifier)
+    return avoided if len(avoided) < len(upstreams) else set()
+
+
 def _slowness(pause_s: float | None, fastest_s: float) -> float:
     if not pause_s or not fastest_s:
         return UNKNOWN_SLOWNESS
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -56,6 +56,13 @@
     gone_in_ms: int
 
 
+class ToldAvoided(NamedTuple):
+    """An engine that cuts streams, and for how long it is avoided."""
+
+    identifier: str
+    for_ms: int
+
+
 class Heartbeat(NamedTuple):
     """One message between two daemons.
 
@@ -81,6 +88,7 @@
     members: tuple[str, ...] = ()
     suspects: tuple[ToldSuspect, ...] = ()
     leaving: tuple[ToldLeaving, ...] = ()
+    avoided: tuple[ToldAvoided, ...] = ()
 
 
 class ListChange(NamedTuple):
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -254,3 +254,12 @@
     departure = other.registry.departures["u0"]
     gone_s = departure.at_s + other.notices["u0"]
     assert abs(gone_s - asking.registry.own_words["u0"].gone_s) < 0.5
+
+
+async def test_an_engine_that_cuts_streams_is_told_to_peers(
+    pair: Pair,
+) -> None:
+    one, two = (daemon.node for daemon in pair.daemons)
+    one.note_cut("u0")
+    await until(lambda: two.avoidance.is_avoided("u0", two.now_s()))
+    assert two.avoidance.to_tell(two.now_s()) == {}
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -527,3 +527,41 @@
     (told,) = to_tell(quarantine, 12.0)
     assert (told.fingerprint, told.deaths, told.age_ms) == (7, ("e1/1",), 2000)
     assert to_tell(quarantine, 30.0) == ()
+
+
+async def test_an_engine_that_cuts_streams_gets_fewer(
+    world: MakeWorld,
+) -> None:
+    """Found by a day of our own with grey engines.
+
+    One engine reset eight streams in a row before their first events,
+    some while others were free.
+    """
+    here = await world()
+    bad = here.upstreams[0]
+
+    async def serve(
+        request: SeenRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.headers["plantainsail-expected-upstream"] == bad.name:
+            reset(writer)
+            return
+        await here.engines.serve(request, writer)
+
+    for upstream in here.upstreams:
+        upstream.serve = serve
+    whole = 0
+    while not bad.seen:
+        whole += (await here.stream()).is_whole
+    asked = len(bad.seen)
+    for _ in range(2):
+        assert (await here.stream()).is_whole
+    assert len(bad.seen) == asked == 1
+    assert here.daemon.node.avoidance.to_tell(here.daemon.node.now_s())
+
+
+async def test_a_suspect_is_better_than_nothing(world: MakeWorld) -> None:
+    here = await world()
+    for upstream in here.upstreams:
+        here.daemon.node.note_cut(upstream.name)
+    assert (await here.stream()).is_whole
