Halve the heartbeats of large fleets; hear proofs through four tellers

Beyond about 190 daemons a proof of freshness was also too old by the time it was told (worked out: 5.9 s at 300, 4.85 allowed), so keys would have been refused.

Change: 60 heartbeats a second to all; the four daemons that tell what is published send 120, and hear from each daemon more often, since a proof holds as of what its teller heard. Other daemons' addresses go with every fourth heartbeat.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -22,7 +22,9 @@
     ToldAvoided,
     ToldLeaving,
     ToldSuspect,
+    contact_interval_s,
     heartbeat_interval_s,
+    teller_interval_s,
 )
 from plantainsail.routing.picture import PEER_SILENCE_S, UpstreamLoad
 from plantainsail.routing.registry import OwnWord
@@ -30,6 +32,9 @@
 
 CHANGE_DELAY_S = 0.004
 SILENT_SEED_EVERY = 4
+MEMBERS_EVERY = 4
+YOUNG_ROUNDS = 40
+DUE_SLACK_S = 0.05
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Heartbeat)
@@ -50,6 +55,7 @@
         self.snapshots = snapshots
         self.sequence = 0
         self.rounds = 0
+        self.all_due_s = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         self.live: set[str] = set()
         self.fetching: asyncio.Task[None] | None = None
@@ -143,14 +149,38 @@
         while True:
             now_s = self.node.now_s()
             self._note_liveness(now_s)
-            self.rounds += 1
+            addressees = self._addressees(now_s)
             message = self._message(self._all_loads(), is_whole=True)
-            for member in list(self.node.members.members.values()):
+            if not self._is_time_for_members():
+                message = message._replace(members=())
+            for member in addressees:
                 is_silent = member.address not in self.live
                 if is_silent and self.rounds % SILENT_SEED_EVERY:
                     continue
                 self._send(member, message)
-            await asyncio.sleep(heartbeat_interval_s(len(self.live)))
+            await asyncio.sleep(contact_interval_s(len(self.live)))
+
+    def _addressees(self, now_s: float) -> list[Member]:
+        """Return whom a heartbeat goes to: all, or tellers only."""
+        members = self.node.members
+        if now_s + DUE_SLACK_S < self.all_due_s:
+            return members.tellers(now_s)
+        peers = len(self.live)
+        interval_s = heartbeat_interval_s(peers)
+        if members.is_teller(now_s):
+            interval_s = teller_interval_s(peers)
+        self.all_due_s = now_s + interval_s
+        self.rounds += 1
+        return list(members.members.values())
+
+    def _is_time_for_members(self) -> bool:
+        """Return whether a heartbeat names other daemons.
+
+        A daemon that began a short time ago hears of them more often.
+        """
+        if self.rounds <= YOUNG_ROUNDS:
+            return True
+        return self.rounds % MEMBERS_EVERY == 0
 
     async def _send_changes(self) -> None:
         while True:
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -8,9 +8,15 @@
 from plantainsail.routing.picture import UpstreamLoad
 
 HEARTBEAT_S = 0.25
-# A daemon sends no more heartbeats a second than this, whatever the
-# size of the fleet.
-HEARTBEATS_A_SECOND = 120.0
+# A daemon sends no more heartbeats a second to all than this, whatever
+# the size of the fleet.
+HEARTBEATS_A_SECOND = 60.0
+# Those that tell the others what is published, and how fresh it is,
+# send more, and hear from each more often: a proof of freshness holds
+# as of the last heartbeat that its teller heard.
+TELLER_HEARTBEATS_A_SECOND = 120.0
+MAX_TELLER_INTERVAL_S = 2.0
+CONTACT_S = 0.75
 LIVE_S = 1.6
 # One heartbeat may be lost without its sender being taken for dead.
 LIVE_HEARTBEATS = 2.2
@@ -28,6 +34,17 @@
     return max(HEARTBEAT_S, peers / HEARTBEATS_A_SECOND)
 
 
+def teller_interval_s(peers: int) -> float:
+    """Return the time between two heartbeats from the same teller."""
+    interval_s = max(HEARTBEAT_S, peers / TELLER_HEARTBEATS_A_SECOND)
+    return min(MAX_TELLER_INTERVAL_S, interval_s)
+
+
+def contact_interval_s(peers: int) -> float:
+    """Return the time between two heartbeats to the same teller."""
+    return min(CONTACT_S, teller_interval_s(peers))
+
+
 class LoadEntry(NamedTuple):
     """What a daemon says of one upstream."""
 
@@ -228,6 +245,15 @@
         """
         return self.rank(now_s) < WATCHERS
 
+    def tellers(self, now_s: float) -> list[Member]:
+        """Return the tellers among the others."""
+        staying = [one for one in self.live(now_s) if not one.is_leaving]
+        staying.sort(key=lambda member: member.address)
+        before = [one for one in staying if one.address < self.address]
+        if len(before) >= WATCHERS:
+            return before[:WATCHERS]
+        return staying[: WATCHERS - 1]
+
     def ahead_of(self, version: int, revision: int) -> list[Member]:
         """Return the members that have what this daemon lacks."""
         found: list[Member] = []
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -4,6 +4,11 @@
 
 import pytest
 
+from plantainsail.entry.feed import CHECK_INTERVAL_S
+from plantainsail.routing.in_force import (
+    FRESHNESS_MARGIN_S,
+    READER_INTERVAL_S,
+)
 from plantainsail.routing.members import (
     BEHIND_S,
     BEHIND_UPSTREAMS_S,
@@ -12,10 +17,13 @@
     WATCHERS,
     Heartbeat,
     Members,
+    contact_interval_s,
     heartbeat_interval_s,
+    teller_interval_s,
 )
 
 OWN = "10.0.0.2:7000"
+REVOCATION_S = 5.0
 
 
 def beat(address: str, sequence: int, **fields: object) -> Heartbeat:
@@ -159,3 +167,26 @@
     two_later_s = 2 * heartbeat_interval_s(fleet - 1)
     assert len(members.live(two_later_s)) == fleet - 1
     assert members.live(members.live_s() + 0.1) == []
+
+
+@pytest.mark.parametrize("fleet", [3, 9, 88, 300, 540])
+def test_proofs_of_freshness_reach_all_in_time(fleet: int) -> None:
+    """A proof is read, told, and holds as of what its teller heard."""
+    oldest_s = READER_INTERVAL_S + CHECK_INTERVAL_S
+    oldest_s += teller_interval_s(fleet - 1)
+    oldest_s += contact_interval_s(fleet - 1)
+    assert oldest_s <= REVOCATION_S - FRESHNESS_MARGIN_S
+
+
+@pytest.mark.parametrize("own", ["a:1", "c:1", "z:1"])
+def test_all_agree_who_tells(own: str) -> None:
+    """A daemon is a teller by its rank, and knows the other ones."""
+    fleet = [f"{letter}:1" for letter in "abcdefgz"]
+    members = Members(own, ())
+    for address in fleet:
+        if address != own:
+            members.hear(beat(address, 1), 0.0)
+    tellers = {one.address for one in members.tellers(0.1)}
+    if members.is_teller(0.1):
+        tellers.add(own)
+    assert tellers == set(fleet[:WATCHERS])
