Take an engine's word of leaving for each of its runs

Found on reading the change: a peer that still kept the word of an engine's earlier run ignored the word of its next one under the same identifier. The new test hangs without the change.

Names: an engine that refuses connections 'has surely ended', in contrast to one that has merely died for callers.

--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/entry/deaths.py
@@ -42,7 +42,7 @@
     return False
 
 
-async def is_gone(upstream: RoutedUpstream) -> bool:
+async def has_surely_ended(upstream: RoutedUpstream) -> bool:
     """Return whether an upstream's process surely has ended.
 
     One that is silent may only be cut off, and still run.
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -321,8 +321,8 @@
             if not is_refused or leg.source is None:
                 return Taken(leg.upstream, head)
         except (ConnectError, LostError) as error:
-            is_gone = await deaths.is_gone(leg.upstream)
-            if leg.source is None or not is_gone:
+            has_ended = await deaths.has_surely_ended(leg.upstream)
+            if leg.source is None or not has_ended:
                 raise LostError("the copy can't be reached") from error
         kept = leg._replace(connection=None)
         try:
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -32,8 +32,10 @@
 
 CHANGE_DELAY_S = 0.004
 SILENT_SEED_EVERY = 4
+# Rounds are heartbeats to all daemons.
 MEMBERS_EVERY = 4
 YOUNG_ROUNDS = 40
+# Timers fire a little early or late.
 DUE_SLACK_S = 0.05
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -223,7 +225,8 @@
 
     def _take_leaving(self, heartbeat: Heartbeat, now_s: float) -> None:
         for told in heartbeat.leaving:
-            if told.identifier in self.node.registry.own_words:
+            known = self.node.registry.own_words.get(told.identifier)
+            if known is not None and known.born_ms == told.born_ms:
                 continue
             word = OwnWord(told.born_ms, now_s + told.gone_in_ms / 1000)
             self.node.take_own_word(told.identifier, word, heartbeat.address)
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -11,6 +11,7 @@
 from plantainsail.entry.mover import CopyEnd, EngineWord
 from plantainsail.routing.members import ListChange
 from plantainsail.routing.picture import UpstreamLoad
+from plantainsail.routing.registry import OwnWord
 from tests.standins.routed import (
     KEYS,
     StandInCaller,
@@ -263,3 +264,22 @@
     one.note_cut("u0")
     await until(lambda: two.avoidance.is_avoided("u0", two.now_s()))
     assert two.avoidance.to_tell(two.now_s()) == {}
+
+
+async def test_a_word_of_an_earlier_run_does_not_hide_a_newer_one(
+    pair: Pair,
+) -> None:
+    """An engine may come back under its identifier, and leave again."""
+    one, two = (daemon.node for daemon in pair.daemons)
+    gone_s = one.now_s() + 5.0
+    one.take_own_word("u0", OwnWord(0, gone_s), "its own word")
+    one.has_news.set()
+    await until(lambda: "u0" in two.registry.own_words)
+    reborn = pair.sources[0].upstreams["u0"]._replace(born_ms=7)
+    for source in pair.sources:
+        source.put(reborn)
+    await until(lambda: one.registry.is_usable("u0"))
+    await until(lambda: two.registry.is_usable("u0"))
+    one.take_own_word("u0", OwnWord(7, gone_s), "its own word")
+    one.has_news.set()
+    await until(lambda: not two.registry.is_usable("u0"))
