Read settings and addresses by one copy each

Found on reading the whole change again: the entry daemon read JSON settings by its own twin of load_settings, the adapter checked addresses by its own twin of is_address, and single-use connections split them by theirs. A settings file that changed without a signal was read twice.

The twins were laxer: an entry with port 99999 named an upstream, and connecting to it raised OverflowError, which nobody takes; a text that is nested too deeply ended the daemon with a traceback. IPv6 stays refused by the adapter. A field that nothing read is gone.

Not measured: no decision on the way of a request changed.

--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -195,7 +195,10 @@
         if loaded.is_error():
             self.node.log.error("reload refused", reason=str(loaded.error))
             return
-        self.node.take_settings(loaded.ok)
+        self._take_settings(loaded.ok)
+
+    def _take_settings(self, settings: EntrySettings) -> None:
+        self.node.take_settings(settings)
         self.node.log.info(
             "reload",
             host=self.node.settings.host,
@@ -212,7 +215,7 @@
                 # The file may be half written; the next look tells.
                 continue
             if has_news(loaded.ok, self.node.settings):
-                self.reload()
+                self._take_settings(loaded.ok)
 
     async def run(self) -> None:
         """Serve until a signal asks to leave and work has ended."""
--- a/src/plantainsail/entry/settings.py
+++ b/src/plantainsail/entry/settings.py
@@ -16,11 +16,14 @@
 from pathlib import Path
 from typing import NamedTuple
 
-import pyjson5
 from expression import Error, Ok, Result
 
-from plantainsail.records import decode_record
-from plantainsail.settings import SettingsError, is_address
+from plantainsail.settings import (
+    SettingsError,
+    is_address,
+    parse_record,
+    read_text,
+)
 
 
 class EntryBounds(NamedTuple):
@@ -61,23 +64,10 @@
 
 def load_entry_settings(file: Path) -> Result[EntrySettings, SettingsError]:
     """Read and check a settings file."""
-    try:
-        value = pyjson5.decode(file.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        return Error(SettingsError(str(file), "file", str(error)))
-    except pyjson5.Json5DecoderException as error:
-        return Error(SettingsError(str(file), "text", str(error)))
-    record = decode_record(EntrySettings, value, "$")
-    if record.is_error():
-        problem = record.error
-        return Error(
-            SettingsError(
-                str(file),
-                problem.path,
-                f"expected {problem.expected}, found {problem.found}",
-            )
-        )
-    return check_entry_settings(record.ok, str(file))
+    name = str(file)
+    text = read_text(file)
+    record = text.bind(lambda found: parse_record(EntrySettings, found, name))
+    return record.bind(lambda found: check_entry_settings(found, name))
 
 
 def check_entry_settings(
--- a/src/plantainsail/platform/decode.py
+++ b/src/plantainsail/platform/decode.py
@@ -20,6 +20,7 @@
     Service,
     WeightedService,
 )
+from plantainsail.settings import is_address
 
 MS = 1000.0
 BITS_PER_BYTE = 8
@@ -65,7 +66,7 @@
         raise UnreadableError(f"upstream {identifier}: state {state!r}")
     if type(slots) is not int or slots < 1 or type(born) is not int:
         raise UnreadableError(f"upstream {identifier}: a number is missing")
-    if not _is_address(str(address)):
+    if not _is_ipv4_address(str(address)):
         raise UnreadableError(f"upstream {identifier}: address {address!r}")
     return RoutedUpstream(
         identifier,
@@ -88,9 +89,9 @@
     return raw
 
 
-def _is_address(address: str) -> bool:
-    ip, _, port = address.rpartition(":")
-    return ip.count(".") == 3 and port.isdigit()
+def _is_ipv4_address(address: str) -> bool:
+    # The platform has IPv4 only.
+    return address.count(":") == 1 and is_address(address)
 
 
 def _route(raw: Raw) -> Route:
--- a/src/plantainsail/settings.py
+++ b/src/plantainsail/settings.py
@@ -19,7 +19,7 @@
 import ipaddress
 import re
 from pathlib import Path
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 from urllib.parse import urlsplit
 
 import pyjson5
@@ -28,6 +28,8 @@
 from plantainsail.logs import LEVELS
 from plantainsail.records import RecordError, decode_record
 
+T = TypeVar("T")
+
 MIN_FLEET_KEY_HEX_DIGITS = 32
 MAX_PORT = 65535
 
@@ -121,32 +123,45 @@
 
 def load_settings(file: Path) -> Result[Settings, SettingsError]:
     """Read and check a settings file."""
+    return read_text(file).bind(lambda text: parse_settings(text, str(file)))
+
+
+def parse_settings(text: str, file: str) -> Result[Settings, SettingsError]:
+    """Check the text of a settings file."""
+    record = parse_record(Settings, text, file)
+    if record.is_error():
+        return record
+    problem = _find_problem(record.ok)
+    if problem is not None:
+        return Error(_from_record(file, problem))
+    return record
+
+
+def read_text(file: Path) -> Result[str, SettingsError]:
+    """Return the text of a settings file."""
     try:
-        text = file.read_text(encoding="utf-8")
+        return Ok(file.read_text(encoding="utf-8"))
     except OSError as error:
         return Error(
             SettingsError(str(file), "file", error.strerror or str(error))
         )
     except UnicodeDecodeError:
         return Error(SettingsError(str(file), "file", "not UTF-8 text"))
-    return parse_settings(text, str(file))
 
 
-def parse_settings(text: str, file: str) -> Result[Settings, SettingsError]:
-    """Check the text of a settings file."""
+def parse_record(
+    record_type: type[T], text: str, file: str
+) -> Result[T, SettingsError]:
+    """Return settings of a type; their values are not checked yet."""
     try:
         value = pyjson5.decode(text)
     except pyjson5.Json5DecoderException as error:
         return Error(SettingsError(file, _line_of(error, text), _brief(error)))
     except RecursionError:
         return Error(SettingsError(file, "line 1", "nested too deeply"))
-    record = decode_record(Settings, value, "$")
+    record = decode_record(record_type, value, "$")
     if record.is_error():
-        error_found = record.error
-        return Error(_from_record(file, error_found))
-    problem = _find_problem(record.ok)
-    if problem is not None:
-        return Error(_from_record(file, problem))
+        return Error(_from_record(file, record.error))
     return Ok(record.ok)
 
 
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -11,6 +11,8 @@
 
 import h11
 
+from plantainsail.settings import split_address
+
 READ_BYTES = 65_536
 CLOSED_EARLY = "connection closed early"
 MAX_HEAD_BYTES = 65_536
@@ -64,17 +66,16 @@
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self.is_sent = False
 
     @classmethod
     async def open(
         cls, address: str, connect_s: float
     ) -> "SingleUseConnection":
         """Connect, or raise `ConnectError`."""
-        ip, _, port = address.rpartition(":")
+        ip, port = split_address(address)
         try:
             async with asyncio.timeout(connect_s):
-                reader, writer = await asyncio.open_connection(ip, int(port))
+                reader, writer = await asyncio.open_connection(ip, port)
         except (OSError, TimeoutError) as error:
             raise ConnectError(address) from error
         _keep_alive(writer)
@@ -82,7 +83,6 @@
 
     def send(self, request: OutgoingRequest) -> None:
         """Write a whole request; it is buffered, not awaited."""
-        self.is_sent = True
         head = h11.Request(
             method=request.method,
             target=request.target,
