Pass whole answers on, and look at engines, by one way each

Found on reading the change again: a stream's engine that answers with an error had its answer passed on by a filter of its own, beside the one of plain services; it let the engine's Keep-Alive through to the caller, who may go by it. CallerExchange.answer serves both now; the new test fails before and passes after. The error has a length now where it was chunked; status, body and signature are the same.

Also twins made one, with no change in what they do: the probe that asks whether an engine still takes connections, the search for a header, the age of the configuration as logs and messages tell it.

Not measured: errors of engines only; nothing on the way of a stream.

--- a/src/plantainsail/entry/caller.py
+++ b/src/plantainsail/entry/caller.py
@@ -8,7 +8,7 @@
 
 from plantainsail.api.responses import failure_response
 from plantainsail.results import Failure
-from plantainsail.upstreams.single_use import Headers
+from plantainsail.upstreams.single_use import Headers, first_value
 
 T = TypeVar("T")
 
@@ -25,6 +25,7 @@
         b"expect",
     }
 )
+BODILESS_STATUSES = frozenset({204, 304})
 CLOSE = (b"connection", b"close")
 
 
@@ -69,10 +70,7 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header, by lower-case name."""
-        for found, value in self.headers:
-            if found == name:
-                return value
-        return None
+        return first_value(self.headers, name)
 
     def end_to_end_headers(self) -> Headers:
         """Return the headers that don't concern one connection only."""
@@ -138,6 +136,14 @@
         """Send the last part of the body."""
         await self.send({"type": "http.response.body", "body": data})
 
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send an upstream's answer that was read whole."""
+        sent = end_to_end(headers)
+        if self.method != b"HEAD" and status not in BODILESS_STATUSES:
+            sent.append((b"content-length", b"%d" % len(body)))
+        await self.start(status, sent)
+        await self.end(body)
+
     async def refuse(self, failure: Failure) -> None:
         """Answer with a failure of the daemon's own."""
         response = failure_response(failure._replace(retry_after_s=None))
--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/entry/deaths.py
@@ -34,12 +34,7 @@
 
 async def has_died(upstream: RoutedUpstream) -> bool:
     """Return whether an upstream that cut a stream is gone."""
-    try:
-        connection = await SingleUseConnection.open(upstream.address, PROBE_S)
-    except ConnectError:
-        return True
-    connection.abort()
-    return False
+    return await _connect_error(upstream) is not None
 
 
 async def has_surely_ended(upstream: RoutedUpstream) -> bool:
@@ -47,12 +42,17 @@
 
     One that is silent may only be cut off, and still run.
     """
+    error = await _connect_error(upstream)
+    return error is not None and error.is_refused
+
+
+async def _connect_error(upstream: RoutedUpstream) -> ConnectError | None:
     try:
         connection = await SingleUseConnection.open(upstream.address, PROBE_S)
     except ConnectError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
+        return error
     connection.abort()
-    return False
+    return None
 
 
 def to_tell(quarantine: Quarantine, now_s: float) -> tuple[ToldSuspect, ...]:
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -253,7 +253,7 @@
         """Return a message without what concerns one receiver only."""
         node = self.node
         now_s = node.now_s()
-        age_s = node.in_force.age_s(now_s)
+        age_ms = node.in_force.age_ms(now_s)
         suspects: tuple[ToldSuspect, ...] = ()
         members: tuple[str, ...] = ()
         if is_whole:
@@ -268,7 +268,7 @@
             echo_nonce=0,
             is_leaving=node.is_leaving,
             configuration_version=node.in_force.version,
-            configuration_age_ms=-1 if age_s is None else int(age_s * 1000),
+            configuration_age_ms=-1 if age_ms is None else age_ms,
             registry_revision=node.registry.revision,
             is_whole=is_whole,
             loads=loads,
--- a/src/plantainsail/entry/handler.py
+++ b/src/plantainsail/entry/handler.py
@@ -145,7 +145,6 @@
         code = Code(failure.code)
         node.metrics.refusals.labels(code.name.lower()).inc()
         identifier = caller.get(node.dialect.request_id) or b""
-        age_s = node.in_force.age_s(node.now_s())
         node.log.info(
             "request refused",
             request=identifier.decode("latin-1"),
@@ -153,7 +152,7 @@
             reason=failure.detail,
             path=caller.path,
             configuration=node.in_force.version,
-            configuration_age_ms=None if age_s is None else int(age_s * 1000),
+            configuration_age_ms=node.in_force.age_ms(node.now_s()),
         )
         await caller.refuse(failure)
 
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -9,7 +9,6 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from plantainsail.entry.caller import end_to_end
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import (
     RoutedRequest,
@@ -38,7 +37,6 @@
 RETRY_AFTER_S = 0.1
 MAX_REFUSALS = 3
 SERVER_ERROR = 500
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 class Ending(Enum):
@@ -71,13 +69,8 @@
         if isinstance(sent, Failure):
             await self.refuse(request, sent)
             return
-        headers = list(sent.headers)
-        is_bodiless = sent.status in BODILESS_STATUSES
-        if request.caller.method != b"HEAD" and not is_bodiless:
-            headers.append((b"content-length", b"%d" % len(sent.body)))
         self._count(request, "answered")
-        await request.caller.start(sent.status, headers)
-        await request.caller.end(sent.body)
+        await request.caller.answer(sent.status, sent.headers, sent.body)
 
     async def refuse(self, request: RoutedRequest, failure: Failure) -> None:
         """Give a failure to the caller, counted and logged."""
@@ -266,7 +259,7 @@
     return Sent(
         Ending.ANSWERED,
         head.status,
-        end_to_end(head.headers),
+        head.headers,
         body,
         "error status" if head.status >= SERVER_ERROR else "",
     )
@@ -290,7 +283,6 @@
     """Count a failure and log it with what it rests on."""
     code = Code(failure.code)
     node.metrics.refusals.labels(code.name.lower()).inc()
-    age_s = node.in_force.age_s(node.now_s())
     node.log.info(
         "request failed",
         request=request.identifier,
@@ -301,5 +293,5 @@
         service=request.service.name,
         after_ms=int((node.now_s() - request.arrived_s) * 1000),
         configuration=request.configuration_version,
-        configuration_age_ms=None if age_s is None else int(age_s * 1000),
+        configuration_age_ms=node.in_force.age_ms(node.now_s()),
     )
--- a/src/plantainsail/entry/snapshot.py
+++ b/src/plantainsail/entry/snapshot.py
@@ -94,10 +94,10 @@
     async def _get(self, request: bytes, _: Any) -> bytes:
         node = self.node
         wanted = WANTED_DECODER.decode(request)
-        age_s = node.in_force.age_s(node.now_s())
+        age_ms = node.in_force.age_ms(node.now_s())
         snapshot = Snapshot(
             self._configuration_after(wanted.version),
-            -1 if age_s is None else int(age_s * 1000),
+            -1 if age_ms is None else age_ms,
             tuple(node.registry.entries.values()),
             node.registry.revision,
         )
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -117,13 +117,7 @@
                 assert generation.connection is not None
                 body = await read_whole(generation.connection)
                 self._log_end(generation, f"status {head.status}")
-                headers = [
-                    one
-                    for one in head.headers
-                    if one[0] not in (b"transfer-encoding", b"connection")
-                ]
-                await request.caller.start(head.status, headers)
-                await request.caller.end(body)
+                await request.caller.answer(head.status, head.headers, body)
                 return
             async with asyncio.timeout(self._left_s(request)):
                 await generation.relay(head)
--- a/src/plantainsail/routing/in_force.py
+++ b/src/plantainsail/routing/in_force.py
@@ -54,6 +54,11 @@
             return None
         return now_s - self.as_of_s
 
+    def age_ms(self, now_s: float) -> int | None:
+        """Return the same in whole milliseconds, as logs tell it."""
+        age_s = self.age_s(now_s)
+        return None if age_s is None else int(age_s * 1000)
+
     def may_use_keys(self, now_s: float, revocation_s: float) -> bool:
         """Return whether a key can't have been revoked for too long."""
         age_s = self.age_s(now_s)
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -33,6 +33,14 @@
     body: bytes = b""
 
 
+def first_value(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, by lower-case name."""
+    for found, value in headers:
+        if found == name:
+            return value
+    return None
+
+
 class AnswerHead(NamedTuple):
     """Status and headers of an answer; names are in lower case."""
 
@@ -41,15 +49,17 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
-        for found, value in self.headers:
-            if found == name:
-                return value
-        return None
+        return first_value(self.headers, name)
 
 
 class ConnectError(ConnectionError):
     """The upstream can't be reached; nothing was sent."""
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether its host answered that nothing listens."""
+        return isinstance(self.__cause__, ConnectionRefusedError)
+
 
 class CutShortError(ConnectionError):
     """The answer ended before its end, or is not HTTP."""
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -418,6 +418,17 @@
     assert sum(len(one.seen) for one in here.upstreams) == 1
 
 
+async def test_an_error_of_an_engine_is_passed_on_whole(
+    world: MakeWorld,
+) -> None:
+    """Headers of the engine's own connection say nothing here."""
+    failed = answer(500, b"broken", b"keep-alive: timeout=1\r\n")
+    got = await (await world(answering(failed))).stream()
+    assert (got.status, got.body, got.is_whole) == (500, b"broken", True)
+    assert "keep-alive" not in got.headers
+    assert got.headers["plantainsail-signature"] == "signed"
+
+
 async def test_generation_ends_when_its_caller_leaves(
     world: MakeWorld,
 ) -> None:
