Say once who tells, how tests wait and what the soak expects

Found on reading the whole change again; nothing does anything else:

- tellers() worked out twice what is_teller() knows;
- two loops of the gossip sent a message to all live daemons;
- the soak worked out twice what an attempt's answer should be;
- a constant, a property and two fields that nothing read are gone.

The whole suite passed. Not measured: no decision changed.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -94,14 +94,6 @@
             return False
         return b" 200 " in line
 
-    @property
-    def is_running(self) -> bool:
-        """Return whether the process lives and isn't stopped."""
-        process = self.process
-        if process is None or self.is_stopped:
-            return False
-        return process.returncode is None
-
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process."""
         if self.process is None or self.process.returncode is not None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -245,11 +245,11 @@
         runs = times_run(self.upstreams)
         for attempt in self.attempts:
             problems += self.judge_attempt(attempt, runs[attempt.request])
-        organisations = {
+        last_runs = {
             run.request: run for one in self.upstreams for run in one.runs
         }
         for attempt in self.attempts:
-            run = organisations.get(attempt.request)
+            run = last_runs.get(attempt.request)
             if run is not None and run.body != attempt.body:
                 problems.append(f"{attempt.request}: another body ran")
         after = self.attempts[mended_at:]
@@ -270,12 +270,11 @@
         if attempt.is_not_run and runs and attempt.kind != "safe":
             found.append(f"{attempt.request}: said not to have run, and ran")
         if attempt.status == 200 and attempt.is_whole:
-            expected = attempt.request.encode()
-            if attempt.kind == "stream":
-                expected = whole_stream(attempt.request)
-            if attempt.answer != expected:
+            if attempt.answer != _expected(attempt):
                 found.append(f"{attempt.request}: an answer of another")
-        elif attempt.status == 200 and not _is_beginning(attempt):
+        elif attempt.status == 200 and not _expected(attempt).startswith(
+            attempt.answer
+        ):
             found.append(f"{attempt.request}: a stream out of order")
         gone_s = self.revoked_s.get(attempt.key)
         if gone_s is not None and runs:
@@ -285,12 +284,11 @@
         return found
 
 
-def _is_beginning(attempt: Attempt) -> bool:
-    """Return whether a cut answer is the beginning of the right one."""
-    expected = attempt.request.encode()
+def _expected(attempt: Attempt) -> bytes:
+    """Return the whole answer to an attempt."""
     if attempt.kind == "stream":
-        expected = whole_stream(attempt.request)
-    return expected.startswith(attempt.answer)
+        return whole_stream(attempt.request)
+    return attempt.request.encode()
 
 
 def _route(kind: str) -> dict[str, Any]:
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -196,17 +196,17 @@
                 LoadEntry(identifier, load)
                 for identifier, load in changed.items()
             )
-            message = self._message(loads, is_whole=False)
-            for member in self.node.members.live(self.node.now_s()):
-                self._send(member, message)
+            self._tell_live(self._message(loads, is_whole=False))
 
     async def _send_news(self) -> None:
         while True:
             await self.node.has_news.wait()
             self.node.has_news.clear()
-            message = self._message((), is_whole=False)
-            for member in self.node.members.live(self.node.now_s()):
-                self._send(member, message)
+            self._tell_live(self._message((), is_whole=False))
+
+    def _tell_live(self, message: Heartbeat) -> None:
+        for member in self.node.members.live(self.node.now_s()):
+            self._send(member, message)
 
     def _words_to_tell(self, now_s: float) -> tuple[ToldLeaving, ...]:
         found: list[ToldLeaving] = []
--- a/src/plantainsail/entry/metrics.py
+++ b/src/plantainsail/entry/metrics.py
@@ -13,8 +13,11 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self.requests = self._counter(
-            "requests", "Routed requests, by kind and outcome.", "outcome"
+        self.requests = Counter(
+            "plantainsail_entry_requests",
+            "Routed requests, by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self.registry,
         )
         self.refusals = Counter(
             "plantainsail_entry_refusals",
@@ -63,11 +66,3 @@
             ["task"],
             registry=self.registry,
         )
-
-    def _counter(self, name: str, meaning: str, label: str) -> Counter:
-        return Counter(
-            f"plantainsail_entry_{name}",
-            meaning,
-            ["kind", label],
-            registry=self.registry,
-        )
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -249,10 +249,8 @@
         """Return the tellers among the others."""
         staying = [one for one in self.live(now_s) if not one.is_leaving]
         staying.sort(key=lambda member: member.address)
-        before = [one for one in staying if one.address < self.address]
-        if len(before) >= WATCHERS:
-            return before[:WATCHERS]
-        return staying[: WATCHERS - 1]
+        others = WATCHERS - 1 if self.is_teller(now_s) else WATCHERS
+        return staying[:others]
 
     def ahead_of(self, version: int, revision: int) -> list[Member]:
         """Return the members that have what this daemon lacks."""
--- a/tests/standins/moving_engines.py
+++ b/tests/standins/moving_engines.py
@@ -26,7 +26,6 @@
 EVENTS = 30
 EVENT_S = 0.006
 CONTINUE = "plantainsail-continue-from"
-EXPECTED = "plantainsail-expected-upstream"
 # What passes without an answer until a caller stops waiting for it.
 SILENT_S = 0.12
 LATE_S = 0.05
@@ -115,9 +114,7 @@
     `made_beside` counts what it made once the next leg had begun.
     """
 
-    def __init__(self, engine: str, first: int) -> None:
-        self.engine = engine
-        self.first = first
+    def __init__(self) -> None:
         self.made_beside = 0
         self.is_over = False
 
@@ -195,7 +192,7 @@
         run.writer = writer
         self.runs[name] = run
         fleet = self.fleet
-        leg = Leg(self.name, first)
+        leg = Leg()
         fleet.legs.append(leg)
         try:
             writer.write(STREAM_HEAD)
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -271,12 +271,6 @@
     return daemon
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait until something is so."""
-    while not condition():  # noqa: ASYNC110
-        await asyncio.sleep(0.005)
-
-
 def reset(writer: asyncio.StreamWriter) -> None:
     """Reset a connection rather than close it."""
     sock = writer.get_extra_info("socket")
--- /dev/null
+++ b/tests/standins/waiting.py
@@ -0,0 +1,12 @@
+"""How tests wait until something is so."""
+
+import asyncio
+from collections.abc import Callable
+
+LOOK_AGAIN_S = 0.005
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; a test that hangs is ended."""
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(LOOK_AGAIN_S)
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -22,8 +22,8 @@
     configuration,
     free_port,
     start_entry,
-    until,
 )
+from tests.standins.waiting import until
 
 
 class Pair:
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -22,8 +22,8 @@
     read_answer,
     reset,
     start_entry,
-    until,
 )
+from tests.standins.waiting import until
 
 
 class World:
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -30,8 +30,8 @@
     read_answer,
     reset,
     start_entry,
-    until,
 )
+from tests.standins.waiting import until
 
 EVENTS = 30
 CONTINUE = "plantainsail-continue-from"
--- a/tests/test_key_change.py
+++ b/tests/test_key_change.py
@@ -15,12 +15,12 @@
 from tests.standins.fleet import FixedPeers, as_peer, free_address
 from tests.standins.plain_service import PlainService
 from tests.standins.platform import Platform, start_daemon
+from tests.standins.waiting import until
 from tests.test_tickets_path import (
     code_of,
     dispatch,
     fresh_ticket,
     outcome_of,
-    until,
 )
 
 OLD = "11" * 16
--- a/tests/test_leaving_moves.py
+++ b/tests/test_leaving_moves.py
@@ -13,6 +13,7 @@
 from tests.standins.engine import Engine, Fault
 from tests.standins.platform import Answer, Platform, call, earn_retries
 from tests.standins.stream_client import StreamClient
+from tests.standins.waiting import until
 from tests.test_streams_daemon import (
     CHAT,
     LENGTH,
@@ -22,7 +23,6 @@
     WORDS,
     address_of,
     start,
-    until,
 )
 
 
--- a/tests/test_moves_under_faults.py
+++ b/tests/test_moves_under_faults.py
@@ -31,8 +31,8 @@
     configuration,
     event,
     start_entry,
-    until,
 )
+from tests.standins.waiting import until
 
 HEADERS = {"plantainsail-tokens": "10,900", "plantainsail-length-hint": "400"}
 # A run that goes on elsewhere may make so much more where it was.
--- a/tests/test_streams_daemon.py
+++ b/tests/test_streams_daemon.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 import pytest
 
@@ -21,6 +21,7 @@
     start_daemon,
 )
 from tests.standins.stream_client import StreamClient
+from tests.standins.waiting import until
 
 LENGTH = 12
 WORDS = "".join(f"w{n} " for n in range(LENGTH))
@@ -48,11 +49,6 @@
     return f"127.0.0.1:{daemon.caller_listener.port}"
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    while not condition():  # noqa: ASYNC110
-        await asyncio.sleep(0.005)
-
-
 def only_stream(daemon: Daemon) -> LiveStream:
     (stream,) = daemon.node.streams.by_request.values()
     return stream
--- a/tests/test_tickets_path.py
+++ b/tests/test_tickets_path.py
@@ -15,6 +15,7 @@
     Platform,
     call,
 )
+from tests.standins.waiting import until
 
 DISPATCH = "/v1/services/ledger/dispatch"
 TICKET = "plantainsail-ticket"
@@ -59,11 +60,6 @@
     return value
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    while not condition():  # noqa: ASYNC110
-        await asyncio.sleep(0.005)
-
-
 @pytest.fixture
 async def fleet(platform: Platform) -> AsyncIterator[list[Daemon]]:
     daemons = await start_fixed_fleet(platform, 3)
