Recognise messages of earlier runs of a daemon

Cause: a peer table that had forgotten an address (60 s of silence, not in the host list) took a buffered heartbeat request of an earlier incarnation for the present one; the entry daemon took any datagram with another nonce for a new run, so that a reordered one of the run before brought back the loads of a process that had ended.

Change: the table keeps the last incarnation of a forgotten address and judges by it, as for a known address; a member keeps the nonces of its earlier runs.

--- a/src/plantainsail/membership/liveness.py
+++ b/src/plantainsail/membership/liveness.py
@@ -30,9 +30,10 @@
 # take this many times longer than within a cell.
 OUTSIDE_CELL_INTERVAL_FACTOR = 3
 # How long, and how many, incarnations are remembered after another
-# incarnation has answered at their address.
-REPLACED_RETENTION_S = 3_600.0
-MAX_REPLACED = 1_024
+# incarnation has answered at their address, or after they were
+# forgotten.
+INCARNATION_RETENTION_S = 3_600.0
+MAX_RETAINED_INCARNATIONS = 1_024
 
 # States of a `PeerRecord`; a replaced incarnation is reported as dead.
 STATES = ["alive", "stale", "dead", "replaced"]
@@ -97,7 +98,9 @@
     """The peer incarnations known to one daemon; a `PeerView`.
 
     `records` holds the present incarnation at each address, and
-    `replaced` the earlier incarnations, which stay dead.
+    `replaced` the earlier incarnations, which stay dead.  `forgotten`
+    holds the last incarnation at each address that is no longer a peer,
+    so that a delayed message of an earlier one is recognised.
     `listed_daemons` are the daemons that the host list names, by
     address.  `cell_addresses` holds the addresses of this daemon's
     cell, or None until they are known.  `exchange_count` is the number
@@ -113,6 +116,7 @@
         # and when each was replaced, by this daemon's clock.
         self.replaced: dict[Incarnation, SenderInfo] = {}
         self.replaced_at_s: dict[Incarnation, float] = {}
+        self.forgotten: dict[str, PeerRecord] = {}
         self.listed_daemons: dict[str, HostEntry] = {}
         self.cell_addresses: frozenset[str] | None = None
         self.exchange_count = 0
@@ -143,7 +147,7 @@
         """
         if sender.incarnation in self.replaced:
             return
-        peer_record = self.records.get(sender.incarnation.address)
+        peer_record = self._known_record(sender.incarnation.address)
         if peer_record is None:
             peer_record = self._add(sender, now_s)
         elif peer_record.sender.incarnation != sender.incarnation:
@@ -165,7 +169,7 @@
         """
         if sender.incarnation in self.replaced:
             return False
-        peer_record = self.records.get(sender.incarnation.address)
+        peer_record = self._known_record(sender.incarnation.address)
         if peer_record is None:
             peer_record = self._add(sender, now_s)
         elif peer_record.sender.incarnation != sender.incarnation:
@@ -241,12 +245,31 @@
                 and address not in self.listed_daemons
             ):
                 self.machine.remove_model(peer_record)
-                del self.records[address]
+                self.forgotten[address] = self.records.pop(address)
+        self._drop_old_incarnations(now_s)
+
+    def _drop_old_incarnations(self, now_s: float) -> None:
         for incarnation, replaced_at_s in list(self.replaced_at_s.items()):
-            is_old = now_s - replaced_at_s >= REPLACED_RETENTION_S
-            if is_old or len(self.replaced) > MAX_REPLACED:
+            is_old = now_s - replaced_at_s >= INCARNATION_RETENTION_S
+            if is_old or len(self.replaced) > MAX_RETAINED_INCARNATIONS:
                 del self.replaced[incarnation]
                 del self.replaced_at_s[incarnation]
+        for address, peer_record in list(self.forgotten.items()):
+            is_old = now_s - peer_record.last_heard_s >= INCARNATION_RETENTION_S
+            if is_old or len(self.forgotten) > MAX_RETAINED_INCARNATIONS:
+                del self.forgotten[address]
+
+    def _known_record(self, address: str) -> PeerRecord | None:
+        """Return the record of an address, also a forgotten one.
+
+        A forgotten one becomes a dead peer again, until a message shows
+        which incarnation is present.
+        """
+        peer_record = self.forgotten.pop(address, None)
+        if peer_record is not None:
+            self.machine.add_model(peer_record, initial="dead")
+            self.records[address] = peer_record
+        return self.records.get(address)
 
     def _interval_factor(self, address: str) -> int:
         """Return by how much a peer's silence limits are lengthened."""
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -1,6 +1,7 @@
 """Tracks the daemons of the fleet by the heartbeats they send."""
 
 import random
+from collections import deque
 from typing import NamedTuple
 
 from plantainsail.routing.fleet_loads import UpstreamLoad
@@ -35,6 +36,8 @@
 # else a sample, since heartbeats dominate a large fleet's traffic.
 MAX_LISTED_MEMBERS = 12
 SAMPLED_MEMBERS = 3
+# Datagrams of this many earlier runs of a daemon are recognised.
+MAX_EARLIER_RUNS = 4
 
 
 def heartbeat_interval_s(peers: int) -> float:
@@ -166,13 +169,15 @@
     """The state of one other daemon, from its latest heartbeat.
 
     `nonce` names the daemon's run, `sequence` the heartbeat within it,
-    and `sent_ms` is its time on the daemon's clock.  `ahead` is set
-    while this daemon has older data than the member.
+    and `sent_ms` is its time on the daemon's clock.  `earlier_nonces`
+    name the runs before it.  `ahead` is set while this daemon has older
+    data than the member.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.nonce = 0
+        self.earlier_nonces: deque[int] = deque(maxlen=MAX_EARLIER_RUNS)
         self.sequence = -1
         self.last_heartbeat_s: float | None = None
         self.sent_ms = -1
@@ -181,6 +186,13 @@
         self.registry_revision = -1
         self.ahead: AheadState | None = None
 
+    def start_run(self, nonce: int) -> None:
+        """Record that another run of the daemon sends heartbeats."""
+        if self.last_heartbeat_s is not None:
+            self.earlier_nonces.append(self.nonce)
+        self.nonce = nonce
+        self.sequence = -1
+
     def is_ahead_too_long(
         self, version: int, revision: int, now_s: float
     ) -> bool:
@@ -233,9 +245,10 @@
             return None
         self.add(heartbeat.address)
         member = self.members[heartbeat.address]
+        if heartbeat.nonce in member.earlier_nonces:
+            return None
         if member.nonce != heartbeat.nonce:
-            member.nonce = heartbeat.nonce
-            member.sequence = -1
+            member.start_run(heartbeat.nonce)
         if heartbeat.sequence <= member.sequence:
             return None
         member.sequence = heartbeat.sequence
--- a/tests/test_membership_liveness.py
+++ b/tests/test_membership_liveness.py
@@ -11,6 +11,7 @@
 from plantainsail.lists.model import HostEntry, HostList, Role
 from plantainsail.membership.liveness import (
     DEAD_AFTER_S,
+    FORGET_AFTER_S,
     STALE_AFTER_S,
     PeerTable,
     SenderInfo,
@@ -89,6 +90,48 @@
     assert present_incarnation(table) == NEW
 
 
+@pytest.fixture
+def forgetful_table() -> PeerTable:
+    """Return a table that has just forgotten the newer incarnation."""
+    table = PeerTable()
+    table.record_reply(table.begin_exchange(), SenderInfo(NEW), 0.0)
+    table.update_states(FORGET_AFTER_S + 1.0)
+    assert table.peers(FORGET_AFTER_S + 1.0) == []
+    return table
+
+
+def test_request_of_an_older_incarnation_than_a_forgotten_one_is_checked(
+    forgetful_table: PeerTable,
+) -> None:
+    """A buffered request must not bring an older incarnation back."""
+    now_s = FORGET_AFTER_S + 1.0
+    assert forgetful_table.record_request(SenderInfo(OLD), now_s)
+    assert present_incarnation(forgetful_table) == NEW
+    assert forgetful_table.state_of(OLD, now_s) is None
+    number = forgetful_table.begin_exchange()
+    forgetful_table.record_reply(number, SenderInfo(NEW), now_s)
+    assert forgetful_table.state_of(NEW, now_s) is PeerState.ALIVE
+
+
+def test_reply_to_an_older_exchange_than_a_forgotten_one_is_ignored() -> None:
+    table = PeerTable()
+    first, second = table.begin_exchange(), table.begin_exchange()
+    table.record_reply(second, SenderInfo(NEW), 0.0)
+    now_s = FORGET_AFTER_S + 1.0
+    table.update_states(now_s)
+    table.record_reply(first, SenderInfo(OLD), now_s)
+    assert table.state_of(OLD, now_s) is None
+
+
+def test_forgotten_incarnation_that_answers_is_alive_again(
+    forgetful_table: PeerTable,
+) -> None:
+    """A daemon that was cut off for long returns as what it was."""
+    now_s = FORGET_AFTER_S + 1.0
+    assert not forgetful_table.record_request(SenderInfo(NEW), now_s)
+    assert forgetful_table.state_of(NEW, now_s) is PeerState.ALIVE
+
+
 def message_for(
     section: MarksSection, sender: Incarnation, peer: Incarnation | None
 ) -> HeartbeatMessage:
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -69,6 +69,18 @@
     )
 
 
+def test_a_late_heartbeat_of_an_earlier_run_is_dropped(
+    members: Members,
+) -> None:
+    """Otherwise the loads of a process that ended would count again."""
+    members.record_heartbeat(heartbeat("a:1", 50), 0.0)
+    members.record_heartbeat(heartbeat("a:1", 1, nonce=2), 0.1)
+    assert members.record_heartbeat(heartbeat("a:1", 51), 0.2) is None
+    assert members.members["a:1"].nonce == 2
+    next_heartbeat = heartbeat("a:1", 2, nonce=2)
+    assert members.record_heartbeat(next_heartbeat, 0.3) is not None
+
+
 def test_members_listed_in_a_heartbeat_are_added(members: Members) -> None:
     members.record_heartbeat(heartbeat("a:1", 1, members=("b:1", OWN)), 0.0)
     assert set(members.members) == {"10.0.0.1:7000", "a:1", "b:1"}
