End answers and streams that bring no answer

Cause: bytes that are no answer may come without end. Interim answers were skipped without a limit, an event without an end was collected (and searched from its start with each piece) until the route's timeout, events without identifiers were passed on beside numbered ones, and answers of the store and to reports had no size limit. A stream whose engine sent a byte now and then ended only at the route's timeout.

Change: limits on interim answers, on the bytes of one event and on the body of a call; an event without identifier after a numbered one is foreign; a stream without a complete event for 1.25 times its caller's patience has stalled (comments are passed on and are no progress; time in which the caller takes no data is not counted).

--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -24,11 +24,16 @@
     is_valid_answer_head,
     make_upstream_request,
 )
-from plantainsail.routing.event_frames import EventFrames, Frame
+from plantainsail.routing.event_frames import (
+    EventFrames,
+    EventTooLongError,
+    Frame,
+)
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.placement import GenerationNeed
 from plantainsail.routing.positions import EventContinuity, EventPositions
+from plantainsail.routing.urgency import stall_limit_s
 from plantainsail.upstreams.single_use import (
     AnswerHead,
     ConnectError,
@@ -244,21 +249,53 @@
             raise GenerationLostError(str(error)) from error
 
     async def _relay_connection(self) -> None:
+        """Pass on complete events until the stream ends.
+
+        Raises `CutShortError` if it breaks off or stalls.  Time in
+        which the caller takes no data does not count as a stall.
+        """
         assert self.connection is not None
+        route = self.request.route
+        limit_s = stall_limit_s(route.objective_s, route.pause_s)
+        loop = asyncio.get_running_loop()
         frames = EventFrames()
+        stalled_at_s = loop.time() + limit_s
         while True:
-            piece = await self.connection.read_piece()
+            piece = await self._read_piece(stalled_at_s)
             if piece is None:
                 if frames.rest:
                     raise CutShortError("ended within an event")
                 return
-            data = b""
-            for frame in frames.feed(piece):
-                data += self._accept_frame(frame)
+            count = self.positions.count
+            data = self._accept_frames(frames, piece)
             if data:
                 await self.request.caller.write(data)
+            if self.positions.count > count:
+                stalled_at_s = loop.time() + limit_s
+
+    async def _read_piece(self, stalled_at_s: float) -> bytes | None:
+        assert self.connection is not None
+        try:
+            async with asyncio.timeout_at(stalled_at_s) as timeout:
+                return await self.connection.read_piece()
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            raise CutShortError("stalled") from error
+
+    def _accept_frames(self, frames: EventFrames, piece: bytes) -> bytes:
+        """Return the data of the new events that a piece completes."""
+        data = b""
+        try:
+            for frame in frames.feed(piece):
+                data += self._accept_frame(frame)
+        except EventTooLongError as error:
+            raise GenerationLostError("an event is too long") from error
+        return data
 
     def _accept_frame(self, frame: Frame) -> bytes:
+        if frame.is_comment:
+            return frame.data
         continuity = self.positions.classify(frame.event_id)
         if continuity is EventContinuity.REPEATED:
             return b""
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -220,7 +220,7 @@
                 )
             )
             head = await connection.read_head()
-            body = await read_whole_body(connection)
+            body = await connection.read_body(MAX_ANSWER_BYTES)
         except CutShortError:
             return SendResult(SendOutcome.FAILED, reason="cut short")
         finally:
@@ -282,21 +282,6 @@
     )
 
 
-async def read_whole_body(connection: SingleUseConnection) -> bytes:
-    """Return the whole body of an answer.
-
-    Raises `CutShortError` if it exceeds `MAX_ANSWER_BYTES`.
-    """
-    body = bytearray()
-    while True:
-        piece = await connection.read_piece()
-        if piece is None:
-            return bytes(body)
-        body += piece
-        if len(body) > MAX_ANSWER_BYTES:
-            raise CutShortError("the answer is too long")
-
-
 def record_failure(
     node: EntryNode, request: RoutedRequest, failure: Failure
 ) -> None:
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -12,7 +12,7 @@
 )
 from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
-from plantainsail.entry.plain import read_whole_body, record_failure
+from plantainsail.entry.plain import MAX_ANSWER_BYTES, record_failure
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.entry.waiting import Waiter, WaitingQueue
 from plantainsail.results import Code, Failure
@@ -126,7 +126,7 @@
                 return
             if head.status != 200:
                 assert generation.connection is not None
-                body = await read_whole_body(generation.connection)
+                body = await generation.connection.read_body(MAX_ANSWER_BYTES)
                 self._log_end(generation, f"status {head.status}")
                 await request.caller.answer(head.status, head.headers, body)
                 return
--- a/src/plantainsail/membership/liveness.py
+++ b/src/plantainsail/membership/liveness.py
@@ -255,7 +255,9 @@
                 del self.replaced[incarnation]
                 del self.replaced_at_s[incarnation]
         for address, peer_record in list(self.forgotten.items()):
-            is_old = now_s - peer_record.last_heard_s >= INCARNATION_RETENTION_S
+            is_old = (
+                now_s - peer_record.last_heard_s >= INCARNATION_RETENTION_S
+            )
             if is_old or len(self.forgotten) > MAX_RETAINED_INCARNATIONS:
                 del self.forgotten[address]
 
--- a/src/plantainsail/platform/calls.py
+++ b/src/plantainsail/platform/calls.py
@@ -13,6 +13,9 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
+# The largest answers are pages of the store's list and several changes
+# of a watch, each with a value of up to 1 MB.
+MAX_ANSWER_BYTES = 8_388_608
 
 
 class CallError(Exception):
@@ -58,15 +61,10 @@
             OutgoingRequest(method, target.encode(), headers, data)
         )
         head = await connection.read_head()
-        answer = bytearray()
-        while True:
-            piece = await connection.read_piece()
-            if piece is None:
-                break
-            answer += piece
+        answer = await connection.read_body(MAX_ANSWER_BYTES)
     finally:
         connection.abort()
-    return CallAnswer(head.status, _json_or_none(bytes(answer)))
+    return CallAnswer(head.status, _json_or_none(answer))
 
 
 def _json_or_none(data: bytes) -> Any:
--- a/src/plantainsail/routing/positions.py
+++ b/src/plantainsail/routing/positions.py
@@ -33,10 +33,14 @@
     def classify(self, event_id: bytes) -> EventContinuity:
         """Classify an event, and count it if it is the next one.
 
-        Events without numeric identifiers always count as the next.
+        In a stream whose events have no numeric identifiers, each
+        counts as the next one.  After a numeric identifier, an event
+        without one does not belong to the stream.
         """
-        if not event_id.isdigit() or not self.last_id.isdigit():
+        if not self.last_id.isdigit():
             return self._accept(event_id)
+        if not event_id.isdigit():
+            return EventContinuity.GAP
         step = int(event_id) - int(self.last_id)
         if step <= 0:
             return EventContinuity.REPEATED
--- a/src/plantainsail/routing/urgency.py
+++ b/src/plantainsail/routing/urgency.py
@@ -20,6 +20,12 @@
 PATIENCE_OBJECTIVES = 4.0
 # Callers are expected to wait for at least this long.
 MIN_PATIENCE_S = 2.0
+# Callers of a stream also wait this many times the longest pause that
+# its route names.
+PATIENCE_PAUSES = 8.0
+# A stream without an event for this share of its caller's patience has
+# stalled.
+STALL_PATIENCE_SHARE = 1.25
 # Prompts often take longer to read than estimated, by this factor.
 READ_MARGIN = 1.2
 
@@ -70,6 +76,20 @@
     )
 
 
+def stall_limit_s(objective_s: float, pause_s: float) -> float:
+    """Return after which time without an event a stream has stalled.
+
+    It is longer than callers wait, so a stream that is only slow is
+    left to the caller's own decision.
+    """
+    patience_s = max(
+        MIN_PATIENCE_S,
+        PATIENCE_OBJECTIVES * objective_s,
+        PATIENCE_PAUSES * pause_s,
+    )
+    return STALL_PATIENCE_SHARE * patience_s
+
+
 def waiting_order(
     claim: Claim, own_read_s: float, now_s: float
 ) -> tuple[bool, int, float]:
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -17,6 +17,7 @@
 READ_BYTES = 65_536
 CLOSED_EARLY = "connection closed early"
 MAX_HEAD_BYTES = 65_536
+MAX_INTERIM_ANSWERS = 16
 # TCP keepalive probes detect a peer that vanished without closing.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
@@ -108,15 +109,17 @@
     async def read_head(self) -> AnswerHead:
         """Return the head of the final answer, skipping 1xx answers.
 
-        Raises `CutShortError` if there is none.
+        Raises `CutShortError` if there is none after
+        `MAX_INTERIM_ANSWERS`.
         """
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 return AnswerHead(event.status_code, list(event.headers))
-            raise CutShortError("no answer")
+            break
+        raise CutShortError("no answer")
 
     async def read_piece(self) -> bytes | None:
         """Return the next part of the body, or None at its end.
@@ -130,6 +133,20 @@
             return None
         raise CutShortError("the answer was cut short")
 
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the whole body of an answer.
+
+        Raises `CutShortError` if it exceeds `limit_bytes`.
+        """
+        body = bytearray()
+        while True:
+            piece = await self.read_piece()
+            if piece is None:
+                return bytes(body)
+            body += piece
+            if len(body) > limit_bytes:
+                raise CutShortError("the answer is too long")
+
     async def _next_event(self) -> object:
         is_closed = False
         while True:
--- /dev/null
+++ b/tests/test_entry_endless_answers.py
@@ -0,0 +1,218 @@
+"""Upstreams that send bytes without end, or stop in the middle.
+
+An upstream in trouble may send bytes that are no answer until its
+caller closes the connection.  A daemon that keeps reading them loses
+its memory and delays every other request.  A stream that stalls must
+end as well, though bytes arrive now and then, and a slow one must not.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+
+from plantainsail.entry import generation
+from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.entry.plain import MAX_ANSWER_BYTES
+from plantainsail.platform.calls import CallError, call
+from plantainsail.routing.event_frames import (
+    MAX_EVENT_BYTES,
+    EventFrames,
+    EventTooLongError,
+)
+from plantainsail.routing.model import RequestKind
+from plantainsail.routing.positions import EventContinuity, EventPositions
+from tests.standins.routed import (
+    ROUTES,
+    SIGNATURE,
+    STREAM_END,
+    STREAM_HEAD,
+    ReceivedRequest,
+    Serve,
+    StandInCaller,
+    StandInSource,
+    StandInUpstream,
+    chunk,
+    configuration,
+    event,
+    route,
+    start_entry,
+)
+from tests.standins.waiting import until
+
+BLOCK = b"x" * 16_384
+# Buffers of both sockets and of the parser hold bytes beyond a limit.
+BUFFERED_BYTES = 8_388_608
+
+
+class EndlessUpstream:
+    """Sends a start once, then a part again and again.
+
+    `sent_bytes` counts what the connection took, and `ended` is set
+    once the caller has closed it.
+    """
+
+    def __init__(
+        self, start: bytes, part: bytes, pause_s: float = 0.0
+    ) -> None:
+        self.start = start
+        self.part = part
+        self.pause_s = pause_s
+        self.sent_bytes = 0
+        self.ended = asyncio.Event()
+
+    async def serve(
+        self, _: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send until the connection is closed."""
+        writer.write(self.start)
+        try:
+            while True:
+                writer.write(self.part)
+                await writer.drain()
+                self.sent_bytes += len(self.part)
+                await asyncio.sleep(self.pause_s)
+        finally:
+            self.ended.set()
+
+
+class Environment:
+    """An entry daemon with one upstream."""
+
+    def __init__(self, daemon: EntryDaemon, upstream: StandInUpstream) -> None:
+        self.daemon = daemon
+        self.upstream = upstream
+        self.caller = StandInCaller(daemon)
+
+
+MakeEnvironment = Callable[[Serve], Awaitable[Environment]]
+
+
+@pytest.fixture
+async def make_environment() -> AsyncIterator[MakeEnvironment]:
+    environments: list[Environment] = []
+
+    async def make(serve: Serve) -> Environment:
+        upstream = StandInUpstream("u0", serve)
+        long = route("/long/", RequestKind.STREAMING, timeout_s=3_600.0)
+        published = configuration(routes=(*ROUTES, long))
+        source = StandInSource(published, (await upstream.start(),))
+        daemon = await start_entry(source)
+        await until(daemon.node.is_ready)
+        environments.append(Environment(daemon, upstream))
+        return environments[-1]
+
+    yield make
+    for env in environments:
+        await env.daemon.stop()
+        env.upstream.stop()
+
+
+@pytest.mark.parametrize(
+    ("start", "part"),
+    [
+        (b"", BLOCK),
+        (b"HTTP/1.1 200 OK\r\nx: ", BLOCK),
+        (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 1_000),
+        (b"", b"HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n" * 100),
+        (b"HTTP/1.1 200 OK\r\n" + SIGNATURE + b"\r\n", BLOCK),
+        (STREAM_HEAD, chunk(BLOCK)),
+        (STREAM_HEAD, BLOCK),
+    ],
+    ids=[
+        "bytes",
+        "header",
+        "headers",
+        "interim answers",
+        "body without length",
+        "chunks",
+        "chunk size",
+    ],
+)
+async def test_endless_answer_of_a_plain_service_gets_502(
+    make_environment: MakeEnvironment, start: bytes, part: bytes
+) -> None:
+    endless = EndlessUpstream(start, part)
+    env = await make_environment(endless.serve)
+    response = await env.caller.call("/once/x")
+    assert response.status == 502
+    assert response.headers["plantainsail-outcome"] == "unknown"
+    await endless.ended.wait()
+    assert endless.sent_bytes < MAX_ANSWER_BYTES + BUFFERED_BYTES
+
+
+@pytest.mark.parametrize(
+    "part", [chunk(BLOCK), chunk(b"data: x\n\n" * 1_000)], ids=["event", "id"]
+)
+async def test_endless_bytes_in_a_stream_end_it(
+    make_environment: MakeEnvironment, part: bytes
+) -> None:
+    """Neither one endless event nor events without identifiers pass."""
+    start = STREAM_HEAD + chunk(event(0)) + chunk(event(1))
+    endless = EndlessUpstream(start, part)
+    env = await make_environment(endless.serve)
+    response = await env.caller.call("/long/x")
+    assert not response.is_whole
+    assert response.body == event(0) + event(1)
+    await endless.ended.wait()
+    assert endless.sent_bytes < MAX_EVENT_BYTES + BUFFERED_BYTES
+
+
+async def test_endless_answer_to_a_call_is_an_error() -> None:
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    endless = EndlessUpstream(head, BLOCK)
+    upstream = StandInUpstream("u0", endless.serve)
+    await upstream.start()
+    with pytest.raises(CallError, match="too long"):
+        await call(upstream.address, b"GET", "/report", 60.0)
+    upstream.stop()
+
+
+def test_event_over_the_limit_is_an_error() -> None:
+    frames = EventFrames()
+    assert frames.feed(b"id: 1\ndata: ") == []
+    with pytest.raises(EventTooLongError):
+        frames.feed(b"x" * MAX_EVENT_BYTES)
+
+
+def test_event_without_identifier_after_others_is_foreign() -> None:
+    positions = EventPositions()
+    assert positions.classify(b"1") is EventContinuity.NEXT
+    assert positions.classify(b"") is EventContinuity.GAP
+    assert positions.classify(b"two") is EventContinuity.GAP
+
+
+async def test_stalled_stream_ends_though_bytes_arrive(
+    make_environment: MakeEnvironment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A byte now and then is no event, so the stream is broken off."""
+    monkeypatch.setattr(generation, "stall_limit_s", lambda *_: 0.2)
+    start = STREAM_HEAD + chunk(event(0))
+    endless = EndlessUpstream(start, chunk(b"d"), pause_s=0.01)
+    env = await make_environment(endless.serve)
+    response = await env.caller.call("/long/x")
+    assert not response.is_whole
+    assert response.body == event(0)
+    await endless.ended.wait()
+
+
+async def test_slow_stream_is_passed_on_whole(
+    make_environment: MakeEnvironment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Events that each come within the limit keep a stream alive."""
+    monkeypatch.setattr(generation, "stall_limit_s", lambda *_: 1.5)
+    numbers = range(20)
+
+    async def serve(_: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(STREAM_HEAD)
+        for number in numbers:
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        writer.write(STREAM_END)
+        await writer.drain()
+
+    env = await make_environment(serve)
+    response = await env.caller.call("/long/x")
+    assert response.is_whole
+    assert response.body == b"".join(event(number) for number in numbers)
