Keep room for the streams of engines that leave

Change: long streams leave room for those that are leaving now and, while departures are frequent, for those of the largest engine. A refused copy is asked for again until the engine is gone, in place of two targets at most; a run that can't be copied yet is asked for again too. Departures that are long past are dropped: the table grew for as long as a daemon ran.

--- a/src/plantainsail/entry/engine_watch.py
+++ b/src/plantainsail/entry/engine_watch.py
@@ -52,6 +52,7 @@
     async def ask_notice_period(self, departure: Departure) -> None:
         """Ask a leaving engine how long it stays."""
         identifier = departure.upstream.identifier
+        self.asked_engines &= self.node.registry.departures.keys()
         if identifier in self.asked_engines:
             return
         if identifier not in self.node.fleet_loads.own:
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -143,6 +143,9 @@
         identifiers = (
             self.registry.entries.keys() | self.fleet_loads.own.keys()
         )
+        self.registry.forget_departed(self.now_s())
+        for identifier in self.notice_periods_s.keys() - identifiers:
+            del self.notice_periods_s[identifier]
         self.paces.forget_except(set(identifiers))
         self.read_rates.forget_except(set(identifiers))
         self.avoidance.forget_except(set(identifiers))
--- a/src/plantainsail/entry/views.py
+++ b/src/plantainsail/entry/views.py
@@ -2,7 +2,14 @@
 
 from plantainsail.entry.node import EntryNode
 from plantainsail.routing.model import RoutedUpstream, Service
-from plantainsail.routing.placement import DEFAULT_SLOWNESS, EngineView
+from plantainsail.routing.placement import (
+    DEFAULT_SLOWNESS,
+    Departing,
+    EngineView,
+)
+
+# Departures within this time count as frequent.
+RECENT_DEPARTURE_S = 30.0
 
 
 def engine_views(node: EntryNode, service: Service) -> list[EngineView]:
@@ -42,6 +49,21 @@
     return views
 
 
+def departing_engines(
+    node: EntryNode, service: Service, now_s: float
+) -> Departing:
+    """Return what the departures of a service's engines amount to."""
+    tokens = 0
+    is_frequent = False
+    for identifier, departure in node.registry.departures.items():
+        if departure.upstream.service != service.name:
+            continue
+        tokens += node.fleet_loads.load_of(identifier, now_s).memory_tokens
+        if now_s - departure.at_s <= RECENT_DEPARTURE_S:
+            is_frequent = True
+    return Departing(tokens, is_frequent)
+
+
 def _avoided_engines(
     node: EntryNode, upstreams: list[RoutedUpstream], now_s: float
 ) -> set[str]:
--- a/src/plantainsail/routing/evacuation.py
+++ b/src/plantainsail/routing/evacuation.py
@@ -22,6 +22,10 @@
 COPY_TIME_MARGIN_S = 0.02
 # A copy to another availability zone takes this many times as long.
 OTHER_ZONE_FACTOR = 2.0
+# An engine that refused a copy is asked again after this time, as its
+# memory may have become free.  A run without a first token yet can't be
+# copied, and is asked for again as well.
+COPY_RETRY_S = 0.15
 # Engines generate more slowly while they read prompts, by this factor.
 TOKEN_TIME_FACTOR = 1.4
 
@@ -92,3 +96,18 @@
     not used: hints are often wrong, and an unneeded move costs little.
     """
     return now_s + tokens_left * token_s * TOKEN_TIME_FACTOR < gone_s
+
+
+class RefusedTargets:
+    """The engines that lately refused a copy of one run."""
+
+    def __init__(self) -> None:
+        self.retry_at_s: dict[str, float] = {}
+
+    def note_refusal(self, identifier: str, now_s: float) -> None:
+        """Record that an engine refused a copy."""
+        self.retry_at_s[identifier] = now_s + COPY_RETRY_S
+
+    def is_avoided(self, identifier: str, now_s: float) -> bool:
+        """Return whether it is too early to ask an engine again."""
+        return self.retry_at_s.get(identifier, 0.0) > now_s
--- a/src/plantainsail/routing/registry.py
+++ b/src/plantainsail/routing/registry.py
@@ -26,6 +26,8 @@
 # A notice that an upstream leaves is kept for this long after the time
 # it announced, since upstreams often stay a little longer.
 NOTICE_KEPT_S = 10.0
+# Upstreams without an entry are remembered as departed for this long.
+DEPARTURE_KEPT_S = 60.0
 # The longest time that an upstream is suspect after a failure.
 MAX_SUSPECT_S = 5.0
 
@@ -191,6 +193,14 @@
             departures += self._depart(departure.upstream, now_s)
         return departures
 
+    def forget_departed(self, now_s: float) -> None:
+        """Drop departures that are long past."""
+        for identifier, departure in list(self.departures.items()):
+            if identifier in self.entries:
+                continue
+            if now_s - departure.at_s >= DEPARTURE_KEPT_S:
+                del self.departures[identifier]
+
     def usable_upstreams(self, service: str) -> list[RoutedUpstream]:
         """Return the upstreams of a service that take new requests."""
         upstreams: list[RoutedUpstream] = []
