Answer all accepted requests in a planned stop

Cause: 2.6 s after SIGTERM the daemon closed its listener, which reset the connections that the kernel had not handed over yet (and asyncio drops those that it has accepted but not set up), and then closed every connection without an answer in progress, also new ones and those whose next request lay unread in the socket or had arrived in part.

Change: the listener is closed once no connection is pending; only a connection that has served a request and has no unread bytes is idle; the daemon waits for begun requests until the end of the grace period and 1 s for new connections to send their first.

--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import logging
+import select
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -39,6 +40,10 @@
 # The load balancer notices within two readiness checks.
 BALANCER_DELAY_S = 2.6
 STOP_MARGIN_S = 0.5
+# A connection that was opened for a request gets so long to send it,
+# once the listener is closed.
+FIRST_REQUEST_WAIT_S = 1.0
+ACCEPT_ROUNDS = 3
 DRAIN_POLL_S = 0.05
 SETTINGS_POLL_S = 2.0
 
@@ -91,6 +96,28 @@
         for connection in list(self.server.server_state.connections):
             connection.shutdown()
 
+    def has_requests(self, *, counts_new: bool) -> bool:
+        """Return whether any caller has a request.
+
+        A connection without any request so far counts if `counts_new`
+        is set.
+        """
+        for connection in self.server.server_state.connections:
+            assert isinstance(connection, CallerProtocol)
+            if connection.is_in_request:
+                return True
+            if counts_new and connection.is_new:
+                return True
+        return False
+
+    def has_pending_connections(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        poll = select.poll()
+        for server in self.servers:
+            for sock in server.sockets:
+                poll.register(sock, select.POLLIN)
+        return bool(poll.poll(0))
+
     def stop(self) -> None:
         """Accept no more connections."""
         for server in self.servers:
@@ -231,20 +258,37 @@
         await self.stop()
 
     async def _wait_for_running_work(self) -> None:
+        """Serve until no request is left, or the grace period ends.
+
+        Connections are accepted until the load balancer has noticed,
+        and no pending one is left, as closing the listener would reset
+        those.
+        """
         node = self.node
-        began_s = node.now_s()
-        end_s = began_s + node.settings.bounds.grace_s - STOP_MARGIN_S
-        has_stopped_accepting = False
+        end_s = node.now_s() + node.settings.bounds.grace_s - STOP_MARGIN_S
+        await asyncio.sleep(min(BALANCER_DELAY_S, end_s - node.now_s()))
+        await self._accept_pending_connections(end_s)
+        self.callers.stop()
+        new_until_s = node.now_s() + FIRST_REQUEST_WAIT_S
         while node.now_s() < end_s:
-            if node.now_s() - began_s >= BALANCER_DELAY_S:
-                if not has_stopped_accepting:
-                    self.callers.stop()
-                    has_stopped_accepting = True
-                self.callers.close_idle()
-                if node.running.total() == 0:
-                    return
+            self.callers.close_idle()
+            is_new_awaited = node.now_s() < new_until_s
+            if not self.callers.has_requests(counts_new=is_new_awaited):
+                return
             await asyncio.sleep(DRAIN_POLL_S)
 
+    async def _accept_pending_connections(self, end_s: float) -> None:
+        """Wait until the listener has accepted all connections.
+
+        The event loop sets up a connection some rounds after it has
+        accepted it, and drops it if the listener is closed by then.
+        """
+        quiet_rounds = 0
+        while quiet_rounds < ACCEPT_ROUNDS and self.node.now_s() < end_s:
+            is_pending = self.callers.has_pending_connections()
+            quiet_rounds = 0 if is_pending else quiet_rounds + 1
+            await asyncio.sleep(0)
+
     async def stop(self) -> None:
         """Stop all tasks and close all listeners."""
         self.callers.stop()
