Forward messages to all daemons within each availability zone

Change: a message for all goes directly to the sender's own zone and once to each other zone, to a daemon that forwards it. Each sender has its own two forwarders by hash and takes turns. Zones under four daemons, daemons whose zone is unknown and the heartbeats of distributors (proofs of freshness with echoes) stay direct. Daemons ask each other's zone by a message of its own, so that builds without it still read heartbeats and are never forwarders.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -18,6 +18,7 @@
     ALL_WATCH_FLEET,
     AvoidedEntry,
     Heartbeat,
+    Introduction,
     LeavingEntry,
     ListChange,
     LoadEntry,
@@ -28,6 +29,7 @@
     heartbeat_interval_s,
 )
 from plantainsail.routing.registry import DepartureNotice
+from plantainsail.routing.spread import Receivers, choose_receivers
 from plantainsail.settings import split_address
 
 LOAD_CHANGE_DELAY_S = 0.004
@@ -44,9 +46,13 @@
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Heartbeat)
 LIST_CHANGE_DECODER = msgspec.msgpack.Decoder(ListChange)
-# This byte never starts a msgpack message, so it tells a list change
-# from a heartbeat.
+INTRODUCTION_DECODER = msgspec.msgpack.Decoder(Introduction)
+# A heartbeat is an array, which starts with none of these bytes, so
+# they tell other messages from it.
 LIST_CHANGE_PREFIX = b"\xc1"
+INTRODUCTION_PREFIX = b"\xc0"
+# The rest is a message to forward to the receiver's availability zone.
+FORWARD_PREFIX = b"\xc2"
 # Peers that lag fetch larger changes over gRPC.
 MAX_LIST_CHANGE_BYTES = 1_300
 # Spreads the fetches of daemons that fall behind at the same time.
@@ -61,6 +67,7 @@
         self.snapshots = snapshots
         self.sequence = 0
         self.rounds = 0
+        self.spread_turn = 0
         self.next_round_s = 0.0
         self.transport: asyncio.DatagramTransport | None = None
         self.live: set[str] = set()
@@ -84,10 +91,16 @@
 
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
         """Decode and apply one message."""
+        if data.startswith(FORWARD_PREFIX):
+            data = data[1:]
+            self._send_to_zone(data)
         try:
             if data.startswith(LIST_CHANGE_PREFIX):
                 self._apply_list_change(LIST_CHANGE_DECODER.decode(data[1:]))
                 return
+            if data.startswith(INTRODUCTION_PREFIX):
+                self._introduce(INTRODUCTION_DECODER.decode(data[1:]))
+                return
             heartbeat = DECODER.decode(data)
         except msgspec.MsgspecError as error:
             self.node.log.warning("message unreadable", reason=str(error))
@@ -117,16 +130,13 @@
 
         Only a distributor sends them.
         """
-        assert self.transport is not None
         now_s = self.node.now_s()
         if not self.node.members.is_distributor(now_s):
             return
-        live = self.node.members.live(now_s)
         data = LIST_CHANGE_PREFIX + ENCODER.encode(change)
         if len(data) > MAX_LIST_CHANGE_BYTES:
             return
-        for member in live:
-            self.transport.sendto(data, split_address(member.address))
+        self._spread(data, self.node.members.live(now_s))
 
     def _apply_list_change(self, change: ListChange) -> None:
         registry = self.node.registry
@@ -149,6 +159,7 @@
         milliseconds, before all of them choose the same engine.
         """
         self.node.fleet_loads.forget(member.address)
+        self._ask_zone(member)
         message = self._make_heartbeat(self._all_loads(), is_whole=True)
         self._send(member, message)
         for other in list(self.node.members.members.values()):
@@ -159,29 +170,42 @@
         while True:
             now_s = self.node.now_s()
             self._update_live_peers(now_s)
-            receivers = self._heartbeat_receivers(now_s)
             message = self._make_heartbeat(self._all_loads(), is_whole=True)
             if not self._should_list_members():
                 message = message._replace(members=())
-            for member in receivers:
-                is_silent = member.address not in self.live
-                if is_silent and self.rounds % SILENT_MEMBER_ROUNDS:
-                    continue
-                self._send(member, message)
+            if now_s + DUE_SLACK_S < self.next_round_s:
+                for member in self.node.members.distributors(now_s):
+                    self._send(member, message)
+            else:
+                self._send_round(message, now_s)
             await asyncio.sleep(contact_interval_s(len(self.live)))
 
-    def _heartbeat_receivers(self, now_s: float) -> list[Member]:
-        """Return all members when a round is due, else distributors."""
+    def _send_round(self, message: Heartbeat, now_s: float) -> None:
+        """Send a heartbeat to all members.
+
+        Those of a distributor are proofs of freshness, which each
+        receiver gets with the echo of its own heartbeat.
+        """
         members = self.node.members
-        if now_s + DUE_SLACK_S < self.next_round_s:
-            return members.distributors(now_s)
         peers = len(self.live)
-        interval_s = heartbeat_interval_s(peers)
-        if members.is_distributor(now_s):
-            interval_s = distributor_interval_s(peers)
-        self.next_round_s = now_s + interval_s
         self.rounds += 1
-        return list(members.members.values())
+        live: list[Member] = []
+        for member in members.members.values():
+            if member.address in self.live:
+                live.append(member)
+                if member.availability_zone is None:
+                    self._ask_zone(member)
+            elif self.rounds % SILENT_MEMBER_ROUNDS == 0:
+                self._send(member, message)
+        if members.is_distributor(now_s):
+            self.next_round_s = now_s + distributor_interval_s(peers)
+            for member in live:
+                self._send(member, message)
+            return
+        self.next_round_s = now_s + heartbeat_interval_s(peers)
+        for member in members.distributors(now_s):
+            self._send(member, message)
+        self._spread_heartbeat(message, live)
 
     def _should_list_members(self) -> bool:
         """Return whether this round's heartbeats list other daemons.
@@ -213,8 +237,71 @@
             self._send_to_live(self._make_heartbeat((), is_whole=False))
 
     def _send_to_live(self, message: Heartbeat) -> None:
-        for member in self.node.members.live(self.node.now_s()):
+        live = self.node.members.live(self.node.now_s())
+        self._spread_heartbeat(message, live)
+
+    def _spread_heartbeat(
+        self, message: Heartbeat, members: list[Member]
+    ) -> None:
+        """Send one heartbeat to many members.
+
+        One that is forwarded carries no echo, as that would be for a
+        single receiver.
+        """
+        receivers = self._receivers(members)
+        for member in receivers.direct:
             self._send(member, message)
+        if not receivers.forwarders:
+            return
+        self.sequence += 1
+        data = ENCODER.encode(message._replace(sequence=self.sequence))
+        for member in receivers.forwarders:
+            self._send_data(member, FORWARD_PREFIX + data)
+
+    def _spread(self, data: bytes, members: list[Member]) -> None:
+        """Send the same message to many members."""
+        receivers = self._receivers(members)
+        for member in receivers.direct:
+            self._send_data(member, data)
+        for member in receivers.forwarders:
+            self._send_data(member, FORWARD_PREFIX + data)
+
+    def _receivers(self, members: list[Member]) -> Receivers:
+        settings = self.node.settings
+        self.spread_turn += 1
+        return choose_receivers(
+            settings.peer_address,
+            settings.availability_zone,
+            members,
+            self.spread_turn,
+        )
+
+    def _send_to_zone(self, data: bytes) -> None:
+        """Forward a message to the other daemons of this zone."""
+        zone = self.node.settings.availability_zone
+        for member in self.node.members.live(self.node.now_s()):
+            if member.availability_zone == zone:
+                self._send_data(member, data)
+
+    def _ask_zone(self, member: Member) -> None:
+        self._send_introduction(member, is_question=True)
+
+    def _introduce(self, introduction: Introduction) -> None:
+        """Record a daemon's zone, and answer if it asked for ours."""
+        member = self.node.members.members.get(introduction.address)
+        if member is None:
+            return
+        member.availability_zone = introduction.availability_zone
+        if introduction.is_question:
+            self._send_introduction(member, is_question=False)
+
+    def _send_introduction(self, member: Member, *, is_question: bool) -> None:
+        settings = self.node.settings
+        introduction = Introduction(
+            settings.peer_address, settings.availability_zone, is_question
+        )
+        data = INTRODUCTION_PREFIX + ENCODER.encode(introduction)
+        self._send_data(member, data)
 
     def _leaving_entries(self, now_s: float) -> tuple[LeavingEntry, ...]:
         entries: list[LeavingEntry] = []
@@ -300,16 +387,17 @@
         )
 
     def _send(self, member: Member, message: Heartbeat) -> None:
-        assert self.transport is not None
         self.sequence += 1
         addressed = message._replace(
             sequence=self.sequence,
             echo_ms=member.sent_ms,
             echo_nonce=member.nonce,
         )
-        self.transport.sendto(
-            ENCODER.encode(addressed), split_address(member.address)
-        )
+        self._send_data(member, ENCODER.encode(addressed))
+
+    def _send_data(self, member: Member, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.sendto(data, split_address(member.address))
 
     def _apply_heartbeat(
         self, heartbeat: Heartbeat, member: Member, now_s: float
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -130,6 +130,19 @@
     avoided: tuple[AvoidedEntry, ...] = ()
 
 
+class Introduction(NamedTuple):
+    """Tells a daemon the sender's availability zone.
+
+    The receiver answers with its own if `is_question` is set.  It is a
+    message of its own, since builds that don't know it must still read
+    heartbeats.
+    """
+
+    address: str
+    availability_zone: str
+    is_question: bool
+
+
 class ListChange(NamedTuple):
     """Changed upstream entries, sent by a watching daemon to others.
 
@@ -170,8 +183,9 @@
 
     `nonce` names the daemon's run, `sequence` the heartbeat within it,
     and `sent_ms` is its time on the daemon's clock.  `earlier_nonces`
-    name the runs before it.  `ahead` is set while this daemon has older
-    data than the member.
+    name the runs before it.  `availability_zone` is None until the
+    daemon has introduced itself.  `ahead` is set while this daemon has
+    older data than the member.
     """
 
     def __init__(self, address: str) -> None:
@@ -181,6 +195,7 @@
         self.sequence = -1
         self.last_heartbeat_s: float | None = None
         self.sent_ms = -1
+        self.availability_zone: str | None = None
         self.is_leaving = False
         self.configuration_version = -1
         self.registry_revision = -1
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -259,11 +259,12 @@
     peer_port: int = 0,
     seeds: tuple[str, ...] = (),
     bounds: EntryBounds | None = None,
+    zone: str = "a",
 ) -> EntryDaemon:
     """Start an entry daemon in this process."""
     settings = EntrySettings(
         host="entry-1",
-        availability_zone="a",
+        availability_zone=zone,
         caller_address="127.0.0.1:0",
         readiness_address="127.0.0.1:0",
         peer_address=f"127.0.0.1:{peer_port or free_port()}",
