--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -28,6 +28,10 @@
 # Bursts of changes are applied together.
 MIN_CHANGE_INTERVAL_S = 0.03
 READ_TIMEOUT_S = 1.2
+# A daemon that starts waits at most this long for its peers' answers,
+# as in a large fleet it needs no call to the service at all.
+MEET_PEERS_TIMEOUT_S = 0.5
+MEET_PEERS_POLL_S = 0.1
 
 
 def _ignore_list_change(_: ListChange) -> None:
@@ -44,6 +48,7 @@
     def __init__(self, node: EntryNode, source: PublishedSource) -> None:
         self.node = node
         self.source = source
+        self.started_s = node.now_s()
         self.is_service_lost = False
         self.back_off_s = BACK_OFF_FIRST_S
         # The daemon replaces these by the methods of its gossip.
@@ -54,6 +59,7 @@
 
     async def watch(self) -> None:
         """Follow changes until cancelled."""
+        await self._meet_peers()
         while True:
             if not self.node.members.is_watcher(self.node.now_s()):
                 await asyncio.sleep(WATCHER_CHECK_S)
@@ -78,7 +84,8 @@
             )
             self.node.forget_gone_engines()
             age_s = self.node.in_force.age_s(now_s)
-            if not is_read_due(age_s, self.node.members.rank(now_s)):
+            rank = self.node.members.rank(now_s)
+            if not is_read_due(age_s, rank, now_s - self.started_s):
                 continue
             try:
                 await self._read_configuration()
@@ -104,6 +111,16 @@
             organisations=len(configuration.organisations or ()),
         )
 
+    async def _meet_peers(self) -> None:
+        if not self.node.members.members:
+            return
+        end_s = self.started_s + MEET_PEERS_TIMEOUT_S
+        while self.node.now_s() < end_s:
+            # The first answers name further daemons.
+            await asyncio.sleep(MEET_PEERS_POLL_S)
+            if self.node.members.has_met_peers(self.node.now_s()):
+                return
+
     async def _read_all(self) -> int:
         published = await self.source.list_upstreams()
         await self._read_configuration()
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -81,6 +81,25 @@
     assert members.record_heartbeat(next_heartbeat, 0.3) is not None
 
 
+def test_a_daemon_without_a_configuration_lags_at_once(
+    members: Members,
+) -> None:
+    """A daemon that starts gets it from the first peer that answers."""
+    member = members.record_heartbeat(heartbeat("a:1", 1), 0.0)
+    assert member is not None
+    assert member.is_ahead_too_long(-1, -1, 0.0)
+    assert not member.is_ahead_too_long(0, 1, 0.0)
+
+
+def test_peers_are_met_once_all_known_ones_answer(members: Members) -> None:
+    assert not members.has_met_peers(0.0)
+    seed = heartbeat("10.0.0.1:7000", 1, members=("a:1",))
+    members.record_heartbeat(seed, 0.0)
+    assert not members.has_met_peers(0.0)
+    members.record_heartbeat(heartbeat("a:1", 1), 0.0)
+    assert members.has_met_peers(0.0)
+
+
 def test_members_listed_in_a_heartbeat_are_added(members: Members) -> None:
     members.record_heartbeat(heartbeat("a:1", 1, members=("b:1", OWN)), 0.0)
     assert set(members.members) == {"10.0.0.1:7000", "a:1", "b:1"}
