Mend four listed tests that depended on luck

Causes and changes: the test of an avoided engine asserted within a time that passes; its clock stands still now. Addresses of tests came from ranges by worker, which two runs on one machine share, or from a port that was closed again; each process has a loopback address of its own now, as the soak had, and gives no port twice. A line of a golden session was written after the wait for a killed process, which the caller's answer may precede; it is written with the signal.

--- a/measure/relay.py
+++ b/measure/relay.py
@@ -21,7 +21,7 @@
 from plantainsail.streams.events import CHAT_SHAPE, EventWriter, StreamFacts
 from plantainsail.streams.relay import Relay
 from plantainsail.upstreams.engine import EventDecoder
-from tests.standins.fleet import free_address
+from soak.fleet import free_address
 from tests.standins.platform import MODEL, Platform
 from tests.standins.process import DaemonProcess
 from tests.standins.stream_client import StreamClient
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -25,12 +25,19 @@
     return f"127.{1 + number % 250}.{1 + number // 250 % 250}.1"
 
 
+GIVEN_ADDRESSES: set[str] = set()
+
+
 def free_address() -> str:
-    """Return an IP address with a port that is not in use."""
+    """Return an address that no other call and no process gets."""
     ip = own_loopback()
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return f"{ip}:{sock.getsockname()[1]}"
+    while True:
+        with socket.socket() as sock:
+            sock.bind((ip, 0))
+            address = f"{ip}:{sock.getsockname()[1]}"
+        if address not in GIVEN_ADDRESSES:
+            GIVEN_ADDRESSES.add(address)
+            return address
 
 
 class SoakDaemon:
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -1,21 +1,13 @@
 """Several daemons in one process, each with a fixed view of peers."""
 
-import itertools
-import os
-import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 from plantainsail.daemon import Daemon
 from plantainsail.membership.view import Peer, PeerState
+from soak.fleet import free_address
 from tests.standins.platform import Platform, start_daemon
 
 LOOPBACK = "127.0.0.1"
-# Below the ports that the system hands out for connections.
-FIRST_PORT = 15_000
-PORTS_OF_A_WORKER = 1_000
-# Processes with consecutive ids start this many ports apart.
-PORTS_STEP = 377
-MAX_WORKERS = 16
 
 
 class FixedPeers:
@@ -29,39 +21,6 @@
         return self.known
 
 
-def _own_ports() -> Iterator[int]:
-    """Return an endless cycle of the ports of this test process.
-
-    Each worker of a test run has its own range, as another worker could
-    otherwise find the same port free before it is opened.  Test runs at
-    the same time start at different ports, given by their process ids.
-    """
-    worker = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-    first = FIRST_PORT + worker % MAX_WORKERS * PORTS_OF_A_WORKER
-    ports = list(range(first, first + PORTS_OF_A_WORKER))
-    start = os.getpid() * PORTS_STEP % PORTS_OF_A_WORKER
-    return itertools.cycle(ports[start:] + ports[:start])
-
-
-PORTS = _own_ports()
-
-
-def free_address() -> str:
-    """Return a loopback address whose port is free at the moment.
-
-    The system's ephemeral ports are not used, as one of the many
-    connections of a test may take such a port before it is opened.
-    """
-    for port in PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-        return f"{LOOPBACK}:{port}"
-    raise AssertionError("the ports never end")
-
-
 def caller_address(daemon: Daemon) -> str:
     """Return the `IP:port` at which a daemon serves callers."""
     return f"{LOOPBACK}:{daemon.caller_listener.port}"
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -27,6 +27,7 @@
     Service,
     WeightedService,
 )
+from soak.fleet import free_address
 
 DIALECT = Dialect()
 SIGNATURE = b"plantainsail-signature: signed\r\n"
@@ -256,7 +257,7 @@
     source: StandInSource,
     mover: EngineMover | None = None,
     *,
-    peer_port: int = 0,
+    peer_address: str | None = None,
     seeds: tuple[str, ...] = (),
     bounds: EntryBounds | None = None,
     zone: str = "a",
@@ -267,7 +268,7 @@
         availability_zone=zone,
         caller_address="127.0.0.1:0",
         readiness_address="127.0.0.1:0",
-        peer_address=f"127.0.0.1:{peer_port or free_port()}",
+        peer_address=peer_address or free_address(),
         seed_addresses=seeds,
         bounds=bounds or EntryBounds(),
     )
@@ -285,14 +286,6 @@
     writer.transport.abort()
 
 
-def free_port() -> int:
-    """Return a loopback port that is unused at the moment."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 class CallerAnswer(NamedTuple):
     """An answer; `is_whole` says whether its body arrived complete."""
 
--- a/tests/test_drain_rolling_restart.py
+++ b/tests/test_drain_rolling_restart.py
@@ -16,7 +16,7 @@
 import aiosonic
 import pytest
 
-from tests.standins.fleet import free_address
+from soak.fleet import free_address
 from tests.standins.platform import FLEET_KEY, MODEL, Answer, Platform, call
 
 DAEMONS = 3
--- a/tests/test_drain_second_request.py
+++ b/tests/test_drain_second_request.py
@@ -11,7 +11,9 @@
 import pytest
 
 from plantainsail.cli.main import main
-from tests.standins.platform import Answer, Platform, call
+from plantainsail.signing import Signer
+from plantainsail.tickets.ticket import verify_ticket
+from tests.standins.platform import FLEET_KEY, Answer, Platform, call
 from tests.standins.stream_client import StreamClient
 from tests.test_drain_rolling_restart import (
     CHAT_BODY,
@@ -28,6 +30,7 @@
 
 REQUESTS = "plantainsail_drain_requests_total"
 HANDED_OVER = 3
+SIGNER = Signer([bytes.fromhex(FLEET_KEY)])
 RESUMES = {"plantainsail-resumes": "true"}
 
 Headers = dict[str, str] | None
@@ -68,6 +71,20 @@
     return caller
 
 
+async def ticket_with_witness(process: Process) -> str:
+    """Ask for tickets until one names a witness.
+
+    A daemon that has just started may not know a peer yet, and then
+    only the executor would know the result.
+    """
+    while True:
+        refused = await call(process.caller, "POST", DISPATCH, b"{}")
+        text = refused.headers.get(TICKET)
+        if text is not None and verify_ticket(text, SIGNER).ok.witness:
+            return text
+        await asyncio.sleep(STEP_S)
+
+
 def release_engines(platform: Platform) -> None:
     for engine in platform.engines:
         engine.hold_released.set()
@@ -142,8 +159,7 @@
     caller = await held_stream(platform, leaving)
     service = platform.services[0]
     service.is_silent = True
-    refused = await call(leaving.caller, "POST", DISPATCH, b"{}")
-    headers = {TICKET: refused.headers[TICKET]}
+    headers = {TICKET: await ticket_with_witness(leaving)}
     dispatch = asyncio.create_task(
         call(leaving.caller, "POST", DISPATCH, b"{}", headers=headers)
     )
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -16,6 +16,7 @@
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.members import ListChange
 from plantainsail.routing.registry import DepartureNotice
+from soak.fleet import free_address
 from tests.standins.routed import (
     KEYS,
     StandInCaller,
@@ -23,7 +24,6 @@
     StandInUpstream,
     answer,
     configuration,
-    free_port,
     respond_with,
     start_entry,
 )
@@ -48,14 +48,13 @@
 async def pair() -> AsyncIterator[DaemonPair]:
     upstream = StandInUpstream("u0", respond_with(answer()))
     entry = await upstream.start()
-    ports = [free_port(), free_port()]
+    addresses = [free_address(), free_address()]
     sources = [
         StandInSource(configuration(1, KEYS), (entry,)) for _ in range(2)
     ]
-    seed = f"127.0.0.1:{ports[0]}"
     daemons = [
-        await start_entry(source, peer_port=port, seeds=(seed,))
-        for source, port in zip(sources, ports, strict=True)
+        await start_entry(source, peer_address=address, seeds=(addresses[0],))
+        for source, address in zip(sources, addresses, strict=True)
     ]
     for daemon in daemons:
         await until(daemon.node.is_ready)
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from plantainsail.clock import ManualClock
 from plantainsail.entry.daemon import EntryDaemon
 from plantainsail.entry.deaths import merge_peer_suspects, suspects_to_send
 from plantainsail.entry.mover import CopyResult, DepartureStatus
@@ -620,6 +621,9 @@
 
     for upstream in env.upstreams:
         upstream.serve = serve
+    node = env.daemon.node
+    # The time of avoidance is that of this clock, which stands still.
+    node.clock = ManualClock(node.now_s())
     whole = 0
     while not bad.received_requests:
         whole += (await env.stream()).is_whole
@@ -627,7 +631,7 @@
     for _ in range(2):
         assert (await env.stream()).is_whole
     assert len(bad.received_requests) == asked == 1
-    assert env.daemon.node.avoidance.local_remaining_s(env.daemon.node.now_s())
+    assert node.avoidance.local_remaining_s(node.now_s())
 
 
 async def test_avoided_engines_are_used_if_all_are_avoided(
--- a/tests/test_gossip_spread.py
+++ b/tests/test_gossip_spread.py
@@ -22,10 +22,10 @@
     MIN_FORWARDED_ZONE,
     choose_receivers,
 )
+from soak.fleet import free_address
 from tests.standins.routed import (
     StandInSource,
     configuration,
-    free_port,
     start_entry,
 )
 from tests.standins.waiting import until
@@ -104,9 +104,8 @@
 async def daemons() -> AsyncIterator[list[EntryDaemon]]:
     """Start one daemon in zone a, and some in zone b."""
     source = StandInSource(configuration(), ())
-    port = free_port()
-    seeds = (f"127.0.0.1:{port}",)
-    started = [await start_entry(source, peer_port=port, seeds=seeds)]
+    seeds = (free_address(),)
+    started = [await start_entry(source, peer_address=seeds[0], seeds=seeds)]
     for _ in range(MIN_FORWARDED_ZONE):
         started.append(await start_entry(source, seeds=seeds, zone="b"))
     for one in started:
--- a/tests/test_key_change.py
+++ b/tests/test_key_change.py
@@ -14,7 +14,8 @@
 
 from plantainsail.daemon import Daemon
 from plantainsail.settings import Settings
-from tests.standins.fleet import FixedPeers, as_peer, free_address
+from soak.fleet import free_address
+from tests.standins.fleet import FixedPeers, as_peer
 from tests.standins.plain_service import PlainService
 from tests.standins.platform import Platform, start_daemon
 from tests.standins.waiting import until
--- a/tests/test_orders_daemon.py
+++ b/tests/test_orders_daemon.py
@@ -17,7 +17,7 @@
 from plantainsail.policy.order_owners import revision_of
 from plantainsail.policy.orders import Order, OrderKind
 from plantainsail.settings import OrderSettings
-from tests.standins.fleet import free_address
+from soak.fleet import free_address
 from tests.standins.orders import OrderBook
 from tests.standins.platform import Platform, call, plan_part
 from tests.standins.process import DaemonProcess
--- a/tests/test_streams_daemon.py
+++ b/tests/test_streams_daemon.py
@@ -16,8 +16,8 @@
 from plantainsail.runtime.live_streams import LiveStream
 from plantainsail.runtime.node import Node
 from plantainsail.streams.relay import Relay
+from soak.fleet import free_address
 from tests.standins.engine import Fault
-from tests.standins.fleet import free_address
 from tests.standins.platform import (
     MODEL,
     Platform,
--- a/tests/test_streams_processes.py
+++ b/tests/test_streams_processes.py
@@ -12,7 +12,8 @@
 import pytest
 
 from plantainsail.daemon import Daemon
-from tests.standins.fleet import caller_address, free_address
+from soak.fleet import free_address
+from tests.standins.fleet import caller_address
 from tests.standins.platform import Platform, start_daemon
 from tests.standins.process import DaemonProcess
 from tests.standins.stream_client import StreamClient
--- a/tests/test_tickets_processes.py
+++ b/tests/test_tickets_processes.py
@@ -16,7 +16,7 @@
 
 from plantainsail.signing import Signer
 from plantainsail.tickets.ticket import Participant, Ticket, verify_ticket
-from tests.standins.fleet import free_address
+from soak.fleet import free_address
 from tests.standins.platform import FLEET_KEY, Answer, Platform, call
 from tests.standins.process import DaemonProcess
 
@@ -98,13 +98,17 @@
             await asyncio.sleep(0.01)
 
     async def send_signal(self, role: str, number: signal.Signals) -> None:
-        """Send a signal to a daemon; after SIGKILL, await its end."""
+        """Send a signal to a daemon; after SIGKILL, await its end.
+
+        The line is logged first, as the answers that follow from the
+        signal may come before the end of the process is noticed.
+        """
         daemon: DaemonProcess = getattr(self, role)
         daemon.signal(number)
+        self.log_line(f"{number.name} to the {role}")
         if number is signal.SIGKILL:
             assert daemon.process is not None
             await daemon.process.wait()
-        self.log_line(f"{number.name} to the {role}")
 
     def log_line(self, line: str) -> None:
         """Log a line with the number of executions so far."""
