Take lists after a restart from no daemon that lags

Cause: a daemon that starts fetched the lists of any peer that is ahead of it, and everyone is ahead of one that knows nothing: a peer that was cut off would bring back upstreams that have left, until the next fetch.

Change: it chooses among the newest half of its peers.

Measured: test_lists_are_taken_from_no_daemon_that_lags (new, members); tests/test_entry_restart.py plays restarts of a daemon that the service refuses: an upstream that left gets nothing, a withdrawn key gets 401, and without a fresh peer a key gets 503 with outcome not_run.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -450,7 +450,7 @@
         node = self.node
         if len(self.live) >= ALL_WATCH_FLEET:
             await asyncio.sleep(MAX_FETCH_DELAY_S * node.random.random())
-        members = node.members.members_ahead_of(
+        members = node.members.newest_ahead_of(
             node.in_force.version, node.registry.revision
         )
         if not members:
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -235,6 +235,10 @@
         return False
 
 
+def _lists_version(member: Member) -> tuple[int, int]:
+    return member.configuration_version, member.registry_revision
+
+
 class Members:
     """All known daemons except this one.
 
@@ -354,6 +358,17 @@
                 ahead.append(member)
         return ahead
 
+    def newest_ahead_of(self, version: int, revision: int) -> list[Member]:
+        """Return the newest half of the members that are ahead.
+
+        A member that was cut off lags the others.  A daemon that has
+        just restarted must not take such a member's lists, in which
+        upstreams that have left still stand.
+        """
+        ahead = self.members_ahead_of(version, revision)
+        ahead.sort(key=_lists_version, reverse=True)
+        return ahead[: (len(ahead) + 1) // 2]
+
     def fleet_size(self) -> int | None:
         """Return the size of the largest fleet seen so far.
 
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -91,6 +91,21 @@
     assert not member.is_ahead_too_long(0, 1, 0.0)
 
 
+def test_lists_are_taken_from_no_daemon_that_lags(
+    members: Members,
+) -> None:
+    """After a restart, a server that left must not be used again."""
+    for number in range(7):
+        current = heartbeat(f"a:{number}", 1, registry_revision=90 + number)
+        members.record_heartbeat(current, 0.0)
+    for number in range(3):
+        lagging = heartbeat(f"b:{number}", 1, registry_revision=5)
+        members.record_heartbeat(lagging, 0.0)
+    chosen = members.newest_ahead_of(-1, -1)
+    assert chosen
+    assert all(member.registry_revision >= 90 for member in chosen)
+
+
 def test_peers_are_met_once_all_known_ones_answer(members: Members) -> None:
     assert not members.has_met_peers(0.0)
     seed = heartbeat("10.0.0.1:7000", 1, members=("a:1",))
