Answer begun requests in a planned stop of the other daemon too

Cause: both daemons share uvicorn's shutdown of connections, which closes those without an answer in progress.

Change: api/draining_http.py holds what the entry daemon had got; both protocols derive from it, and a connection closes after its last answer.

--- a/src/plantainsail/api/bounded_http.py
+++ b/src/plantainsail/api/bounded_http.py
@@ -11,8 +11,8 @@
 import h11
 from starlette.applications import Starlette
 from starlette.responses import Response
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from plantainsail.api.draining_http import DrainingProtocol
 from plantainsail.api.responses import failure_response
 from plantainsail.results import Code, Failure
 from plantainsail.runtime.node import Node
@@ -20,7 +20,7 @@
 HTTP_HEADERS_TOO_LARGE = 431
 
 
-class BoundedHttpProtocol(H11Protocol):
+class BoundedHttpProtocol(DrainingProtocol):
     """Closes connections whose request heads are late or too large.
 
     The time limit is `body_s`, as for bodies.  It starts when the
