Split heartbeats from gossip; add up loads in one pass

Cause: gossip.py had grown to 480 lines that made, sent and applied messages; a view of all engines asked each of all daemons for each engine, on every poll of a waiting request.

Change: entry/heartbeats.py makes and applies heartbeats, gossip.py (370 lines) sends and receives; FleetLoads.totals passes once over the daemons.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -10,25 +10,25 @@
 import grpc
 import msgspec
 
-from plantainsail.entry import deaths
+from plantainsail.entry.heartbeats import (
+    apply_heartbeat,
+    make_heartbeat,
+    own_loads,
+)
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.snapshot import SnapshotExchange
-from plantainsail.routing.fleet_loads import PEER_SILENCE_S, UpstreamLoad
+from plantainsail.routing.fleet_loads import PEER_SILENCE_S
 from plantainsail.routing.members import (
     ALL_WATCH_FLEET,
-    AvoidedEntry,
     Heartbeat,
     Introduction,
-    LeavingEntry,
     ListChange,
     LoadEntry,
     Member,
-    SuspectEntry,
     contact_interval_s,
     distributor_interval_s,
     heartbeat_interval_s,
 )
-from plantainsail.routing.registry import DepartureNotice
 from plantainsail.routing.spread import Receivers, choose_receivers
 from plantainsail.settings import split_address
 
@@ -113,7 +113,8 @@
             return
         if is_new:
             self._answer_new_member(member)
-        self._apply_heartbeat(heartbeat, member, now_s)
+        apply_heartbeat(self.node, heartbeat, now_s)
+        self._fetch_if_behind(member, now_s)
 
     def error_received(self, error: Exception) -> None:
         """Log that a message could not be sent."""
@@ -121,7 +122,9 @@
 
     def announce(self) -> None:
         """Send all daemons a heartbeat now, such as on leaving."""
-        message = self._make_heartbeat(self._all_loads(), is_whole=True)
+        message = make_heartbeat(
+            self.node, own_loads(self.node), is_whole=True
+        )
         for member in list(self.node.members.members.values()):
             self._send(member, message)
 
@@ -160,7 +163,9 @@
         """
         self.node.fleet_loads.forget(member.address)
         self._ask_zone(member)
-        message = self._make_heartbeat(self._all_loads(), is_whole=True)
+        message = make_heartbeat(
+            self.node, own_loads(self.node), is_whole=True
+        )
         self._send(member, message)
         for other in list(self.node.members.members.values()):
             if other.last_heartbeat_s is None:
@@ -170,7 +175,9 @@
         while True:
             now_s = self.node.now_s()
             self._update_live_peers(now_s)
-            message = self._make_heartbeat(self._all_loads(), is_whole=True)
+            message = make_heartbeat(
+                self.node, own_loads(self.node), is_whole=True
+            )
             if not self._should_list_members():
                 message = message._replace(members=())
             if now_s + DUE_SLACK_S < self.next_round_s:
@@ -228,13 +235,15 @@
                 LoadEntry(identifier, load)
                 for identifier, load in changed.items()
             )
-            self._send_to_live(self._make_heartbeat(loads, is_whole=False))
+            self._send_to_live(
+                make_heartbeat(self.node, loads, is_whole=False)
+            )
 
     async def _send_engine_states(self) -> None:
         while True:
             await self.node.engine_state_changed.wait()
             self.node.engine_state_changed.clear()
-            self._send_to_live(self._make_heartbeat((), is_whole=False))
+            self._send_to_live(make_heartbeat(self.node, (), is_whole=False))
 
     def _send_to_live(self, message: Heartbeat) -> None:
         live = self.node.members.live(self.node.now_s())
@@ -303,89 +312,6 @@
         data = INTRODUCTION_PREFIX + ENCODER.encode(introduction)
         self._send_data(member, data)
 
-    def _leaving_entries(self, now_s: float) -> tuple[LeavingEntry, ...]:
-        entries: list[LeavingEntry] = []
-        notices = self.node.registry.notices_to_send(now_s)
-        for identifier, notice in notices.items():
-            gone_in_ms = int((notice.gone_s - now_s) * 1000)
-            entries.append(
-                LeavingEntry(identifier, notice.born_ms, gone_in_ms)
-            )
-        return tuple(entries)
-
-    def _avoided_entries(self, now_s: float) -> tuple[AvoidedEntry, ...]:
-        avoided = self.node.avoidance.local_remaining_s(now_s)
-        entries: list[AvoidedEntry] = []
-        for identifier, remaining_s in avoided.items():
-            entries.append(AvoidedEntry(identifier, int(remaining_s * 1000)))
-        return tuple(entries)
-
-    def _apply_departure_notices(
-        self, heartbeat: Heartbeat, now_s: float
-    ) -> None:
-        for entry in heartbeat.leaving:
-            known_notice = self.node.registry.departure_notices.get(
-                entry.identifier
-            )
-            if (
-                known_notice is not None
-                and known_notice.born_ms == entry.born_ms
-            ):
-                continue
-            notice = DepartureNotice(
-                entry.born_ms, now_s + entry.gone_in_ms / 1000
-            )
-            self.node.record_departure_notice(
-                entry.identifier, notice, heartbeat.address
-            )
-
-    def _all_loads(self) -> tuple[LoadEntry, ...]:
-        paces = self.node.paces.local_paces(self.node.now_s())
-        own = self.node.fleet_loads.own
-        entries: list[LoadEntry] = []
-        for identifier in own.keys() | paces.keys():
-            load = own.get(identifier, UpstreamLoad())
-            entries.append(
-                LoadEntry(
-                    identifier,
-                    load,
-                    paces.get(identifier),
-                    self.node.read_rates.local_rates.get(identifier),
-                )
-            )
-        return tuple(entries)
-
-    def _make_heartbeat(
-        self, loads: tuple[LoadEntry, ...], *, is_whole: bool
-    ) -> Heartbeat:
-        """Return a heartbeat without the fields set per receiver."""
-        node = self.node
-        now_s = node.now_s()
-        age_ms = node.in_force.age_ms(now_s)
-        suspects: tuple[SuspectEntry, ...] = ()
-        members: tuple[str, ...] = ()
-        if is_whole:
-            suspects = deaths.suspects_to_send(node.quarantine, now_s)
-            members = node.members.sample_addresses(node.random, now_s)
-        return Heartbeat(
-            address=node.settings.peer_address,
-            nonce=node.nonce,
-            sequence=0,
-            sent_ms=int(now_s * 1000),
-            echo_ms=-1,
-            echo_nonce=0,
-            is_leaving=node.is_leaving,
-            configuration_version=node.in_force.version,
-            configuration_age_ms=-1 if age_ms is None else age_ms,
-            registry_revision=node.registry.revision,
-            is_whole=is_whole,
-            loads=loads,
-            suspects=suspects,
-            members=members,
-            leaving=self._leaving_entries(now_s),
-            avoided=self._avoided_entries(now_s),
-        )
-
     def _send(self, member: Member, message: Heartbeat) -> None:
         self.sequence += 1
         addressed = message._replace(
@@ -399,44 +325,6 @@
         assert self.transport is not None
         self.transport.sendto(data, split_address(member.address))
 
-    def _apply_heartbeat(
-        self, heartbeat: Heartbeat, member: Member, now_s: float
-    ) -> None:
-        node = self.node
-        loads = {entry.identifier: entry.load for entry in heartbeat.loads}
-        node.fleet_loads.record_peer_loads(
-            heartbeat.address, loads, now_s, is_whole=heartbeat.is_whole
-        )
-        for entry in heartbeat.loads:
-            if entry.pace is not None:
-                node.paces.record_peer_pace(
-                    entry.identifier, entry.pace, now_s
-                )
-            if entry.read_tokens_s is not None:
-                node.read_rates.record_peer_rate(
-                    entry.identifier, entry.read_tokens_s
-                )
-        deaths.merge_peer_suspects(node.quarantine, heartbeat.suspects, now_s)
-        self._apply_departure_notices(heartbeat, now_s)
-        for avoided in heartbeat.avoided:
-            for_s = avoided.for_ms / 1000
-            node.avoidance.record_peer_avoidance(
-                avoided.identifier, for_s, now_s
-            )
-        self._confirm_freshness(heartbeat)
-        self._fetch_if_behind(member, now_s)
-
-    def _confirm_freshness(self, heartbeat: Heartbeat) -> None:
-        is_echo = heartbeat.echo_nonce == self.node.nonce
-        if not is_echo or heartbeat.echo_ms < 0:
-            return
-        if heartbeat.configuration_age_ms < 0:
-            return
-        as_of_ms = heartbeat.echo_ms - heartbeat.configuration_age_ms
-        self.node.in_force.confirm(
-            heartbeat.configuration_version, as_of_ms / 1000
-        )
-
     def _fetch_if_behind(self, member: Member, now_s: float) -> None:
         node = self.node
         version, revision = node.in_force.version, node.registry.revision
--- a/src/plantainsail/entry/views.py
+++ b/src/plantainsail/entry/views.py
@@ -1,6 +1,7 @@
 """Combines registry, loads and paces into placement's engine views."""
 
 from plantainsail.entry.node import EntryNode
+from plantainsail.routing.fleet_loads import NO_LOAD
 from plantainsail.routing.model import RoutedUpstream, Service
 from plantainsail.routing.placement import (
     DEFAULT_SLOWNESS,
@@ -26,6 +27,7 @@
     known_s = [pause_s for pause_s in usual_s.values() if pause_s]
     fastest_s = min(known_s) if known_s else 0.0
     avoided = _avoided_engines(node, upstreams, now_s)
+    loads = node.fleet_loads.totals(now_s)
     views: list[EngineView] = []
     for upstream in upstreams:
         identifier = upstream.identifier
@@ -34,7 +36,7 @@
             EngineView(
                 upstream,
                 service.traits,
-                node.fleet_loads.load_of(identifier, now_s),
+                loads.get(identifier, NO_LOAD),
                 _slowness(own_usual_s, fastest_s),
                 _recent_slowness(
                     node.paces.recent_s(identifier, now_s), own_usual_s
--- a/src/plantainsail/routing/fleet_loads.py
+++ b/src/plantainsail/routing/fleet_loads.py
@@ -32,11 +32,23 @@
 
     def plus(self, other: "UpstreamLoad") -> "UpstreamLoad":
         """Return the sum of two loads."""
-        return UpstreamLoad(*(a + b for a, b in zip(self, other, strict=True)))
+        return UpstreamLoad(
+            self.running + other.running,
+            self.long_running + other.long_running,
+            self.memory_tokens + other.memory_tokens,
+            self.unread_tokens + other.unread_tokens,
+            self.first_copies + other.first_copies,
+        )
 
     def minus(self, other: "UpstreamLoad") -> "UpstreamLoad":
         """Return the difference of two loads."""
-        return UpstreamLoad(*(a - b for a, b in zip(self, other, strict=True)))
+        return UpstreamLoad(
+            self.running - other.running,
+            self.long_running - other.long_running,
+            self.memory_tokens - other.memory_tokens,
+            self.unread_tokens - other.unread_tokens,
+            self.first_copies - other.first_copies,
+        )
 
 
 NO_LOAD = UpstreamLoad()
@@ -129,6 +141,22 @@
                 fleet_load = fleet_load.plus(peer_load)
         return fleet_load
 
+    def totals(self, now_s: float) -> dict[str, UpstreamLoad]:
+        """Return the load of all live daemons on each upstream.
+
+        Upstreams without load are left out.  Most daemons have loads on
+        few upstreams, so one pass over all of them is cheaper than one
+        for each upstream.
+        """
+        totals = dict(self.own)
+        for loads in self._live_peer_loads(now_s):
+            for identifier, load in loads.items():
+                total = totals.get(identifier)
+                totals[identifier] = (
+                    load if total is None else total.plus(load)
+                )
+        return totals
+
     def _live_peer_loads(
         self, now_s: float
     ) -> Iterator[dict[str, UpstreamLoad]]:
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -12,6 +12,7 @@
 from plantainsail.entry.daemon import EntryDaemon
 from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.gossip import DECODER, ENCODER, LIST_CHANGE_PREFIX
+from plantainsail.entry.heartbeats import make_heartbeat
 from plantainsail.entry.mover import CopyResult, DepartureStatus
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.members import ListChange
@@ -158,7 +159,8 @@
             messages.append(data)
 
     transport, gossip.transport = gossip.transport, RecordingTransport()  # type: ignore[assignment]
-    gossip._send(member, gossip._make_heartbeat((), is_whole=True))
+    heartbeat = make_heartbeat(gossip.node, (), is_whole=True)
+    gossip._send(member, heartbeat)
     gossip.transport = transport
     assert messages
     heartbeat = DECODER.decode(messages[0])._replace(
--- a/tests/test_routing_fleet_loads.py
+++ b/tests/test_routing_fleet_loads.py
@@ -44,6 +44,25 @@
         assert sender.load_of(engine, 0.0).running == held.count(engine)
 
 
+@given(st.integers(0, 2**16))
+def test_totals_equal_the_load_of_each_upstream(seed: int) -> None:
+    source = random.Random(seed)
+    fleet_loads = FleetLoads()
+    for number in range(source.randrange(8)):
+        received_s = source.choice([0.0, PEER_SILENCE_S])
+        loads = dict.fromkeys(source.sample("abcd", 2), ONE)
+        fleet_loads.record_peer_loads(
+            f"peer-{number}", loads, received_s, is_whole=True
+        )
+    if source.random() < 0.5:
+        fleet_loads.add("a", ONE)
+    now_s = PEER_SILENCE_S + 1.0
+    totals = fleet_loads.totals(now_s)
+    for engine in "abcd":
+        expected = fleet_loads.load_of(engine, now_s)
+        assert totals.get(engine, NO_LOAD) == expected
+
+
 def test_the_load_of_a_silent_peer_no_longer_counts() -> None:
     fleet_loads = FleetLoads()
     fleet_loads.add("a", ONE)
