Contact silent members in a daemon's first rounds

Cause: a daemon sent its first heartbeat to members that it had not heard only in its fourth round, 0.75 s after its start, so a fleet that was killed at once waited its whole time for peers (0.52 s until a configuration, 0.03 s before lists came from peers).

Change: the first eight rounds go to silent members too, and the wait is at most 0.3 s.

--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -30,7 +30,7 @@
 READ_TIMEOUT_S = 1.2
 # A daemon that starts waits at most this long for its peers' answers,
 # as in a large fleet it needs no call to the service at all.
-MEET_PEERS_TIMEOUT_S = 0.5
+MEET_PEERS_TIMEOUT_S = 0.3
 MEET_PEERS_POLL_S = 0.05
 
 
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -34,8 +34,9 @@
 
 LOAD_CHANGE_DELAY_S = 0.004
 # A round sends heartbeats to all members, but to silent ones only once
-# in this many rounds.
+# in this many rounds, and in each of the first rounds of a daemon.
 SILENT_MEMBER_ROUNDS = 4
+FIRST_CONTACT_ROUNDS = 8
 # Heartbeats list other members once in this many rounds, and in each of
 # the first rounds of a daemon.
 MEMBER_LIST_ROUNDS = 4
@@ -202,7 +203,7 @@
                 live.append(member)
                 if member.availability_zone is None:
                     self._ask_zone(member)
-            elif self.rounds % SILENT_MEMBER_ROUNDS == 0:
+            elif self._should_try_silent_members():
                 self._send(member, message)
         if members.is_distributor(now_s):
             self.next_round_s = now_s + distributor_interval_s(peers)
@@ -214,6 +215,11 @@
             self._send(member, message)
         self._spread_heartbeat(message, live)
 
+    def _should_try_silent_members(self) -> bool:
+        if self.rounds <= FIRST_CONTACT_ROUNDS:
+            return True
+        return self.rounds % SILENT_MEMBER_ROUNDS == 0
+
     def _should_list_members(self) -> bool:
         """Return whether this round's heartbeats list other daemons.
 
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -314,3 +314,13 @@
     )
     sender.engine_state_changed.set()
     await until(lambda: not receiver.registry.is_usable("u0"))
+
+
+async def test_a_daemon_that_starts_asks_its_seeds_at_once() -> None:
+    """It needs their lists before it can serve anyone."""
+    silent = free_address()
+    source = StandInSource(configuration(), ())
+    daemon = await start_entry(source, seeds=(silent,))
+    await until(lambda: daemon.gossip.rounds == 1)
+    assert daemon.gossip.sequence == 1
+    await daemon.stop()
