Revert that streams about to end give way to other copies

A stream whose estimate was wrong was then too late for its copy ('too late' with 299 and 220 ms left).

--- a/src/plantainsail/entry/evacuation.py
+++ b/src/plantainsail/entry/evacuation.py
@@ -16,7 +16,6 @@
     RefusedTargets,
     can_copy_finish,
     copy_time_s,
-    may_wait_for_end,
     next_step,
     will_end_before_engine,
 )
@@ -138,7 +137,6 @@
         if self._ends_before_source():
             self.result = "ends by itself"
             return
-        await self._let_others_go_first()
         while True:
             target = await self._wait_for_target()
             if target is None:
@@ -162,54 +160,16 @@
 
     def _ends_before_source(self) -> bool:
         departing = self.departing
+        now_s = self.node.now_s()
+        token_s = DEFAULT_TOKEN_S
+        pause_s = self.node.paces.usual_s(departing.source.identifier, now_s)
+        if pause_s:
+            token_s = pause_s / departing.service.traits.tokens_per_event
         remaining_tokens = max(
             1, departing.output_limit - departing.generated_tokens
         )
         return will_end_before_engine(
-            remaining_tokens, self._token_s(), self.gone_s, self.node.now_s()
-        )
-
-    def _token_s(self) -> float:
-        """Return the source's usual time for each token."""
-        departing = self.departing
-        pause_s = self.node.paces.usual_s(
-            departing.source.identifier, self.node.now_s()
-        )
-        if not pause_s:
-            return DEFAULT_TOKEN_S
-        return pause_s / departing.service.traits.tokens_per_event
-
-    async def _let_others_go_first(self) -> None:
-        """Wait while this run probably ends by itself in time."""
-        departing = self.departing
-        need = departing.need
-        expected_tokens = need.output_tokens - departing.generated_tokens
-        if expected_tokens <= 0:
-            # The run is longer than expected, so its end is unknown.
-            return
-        copy_s = self._copy_time_s(is_same_zone=False)
-        source = departing.source.identifier
-        while True:
-            now_s = self.node.now_s()
-            load = self.node.fleet_loads.load_of(source, now_s)
-            if not may_wait_for_end(
-                expected_tokens,
-                self._token_s(),
-                load.first_copies,
-                copy_s,
-                self.gone_s,
-                now_s,
-            ):
-                return
-            await asyncio.sleep(TARGET_POLL_S)
-
-    def _copy_time_s(self, *, is_same_zone: bool) -> float:
-        traits = self.departing.service.traits
-        return copy_time_s(
-            self.departing.held_tokens,
-            traits.token_bytes,
-            traits.link_bytes_s,
-            is_same_zone=is_same_zone,
+            remaining_tokens, token_s, self.gone_s, now_s
         )
 
     async def _wait_for_target(self) -> RoutedUpstream | None:
@@ -239,9 +199,13 @@
     async def _first_copy(self, target: RoutedUpstream) -> CopyResult:
         departing = self.departing
         node = self.node
-        zone = departing.source.availability_zone
-        copy_s = self._copy_time_s(
-            is_same_zone=target.availability_zone == zone
+        traits = departing.service.traits
+        copy_s = copy_time_s(
+            departing.held_tokens,
+            traits.token_bytes,
+            traits.link_bytes_s,
+            is_same_zone=target.availability_zone
+            == departing.source.availability_zone,
         )
         if not can_copy_finish(copy_s, self.gone_s, node.now_s()):
             return TOO_LATE_TO_COPY
--- a/src/plantainsail/routing/evacuation.py
+++ b/src/plantainsail/routing/evacuation.py
@@ -98,28 +98,6 @@
     return now_s + tokens_left * token_s * TOKEN_TIME_FACTOR < gone_s
 
 
-def may_wait_for_end(
-    expected_tokens: float,
-    token_s: float,
-    copies_ahead: int,
-    copy_s: float,
-    gone_s: float,
-    now_s: float,
-) -> bool:
-    """Return whether a stream should not yet be copied.
-
-    A link carries only some of a full engine's streams in time, so one
-    that probably ends by itself lets the others go first.  It is copied
-    after all once no other copy is in progress, or before it is too
-    late for a copy that takes `copy_s`.
-    """
-    if copies_ahead <= 0:
-        return False
-    if now_s + copy_s + CUT_OVER_RESERVE_S >= gone_s:
-        return False
-    return now_s + expected_tokens * token_s * TOKEN_TIME_FACTOR < gone_s
-
-
 class RefusedTargets:
     """The engines that lately refused a copy of one run."""
 
--- a/tests/test_routing_streams.py
+++ b/tests/test_routing_streams.py
@@ -10,7 +10,6 @@
     WAIT,
     can_copy_finish,
     copy_time_s,
-    may_wait_for_end,
     next_step,
     will_end_before_engine,
 )
@@ -113,17 +112,3 @@
     """
     assert will_end_before_engine(40, 0.009, GONE_S, GONE_S - 1.5)
     assert not will_end_before_engine(400, 0.009, GONE_S, GONE_S - 1.5)
-
-
-def test_a_stream_about_to_end_lets_other_copies_go_first() -> None:
-    """A link carries only some of a full engine's streams in time."""
-
-    def waits(
-        tokens: float = 50, copies: int = 1, now_s: float = GONE_S - 1.5
-    ) -> bool:
-        return may_wait_for_end(tokens, 0.01, copies, 0.2, GONE_S, now_s)
-
-    assert waits()
-    assert not waits(tokens=200)
-    assert not waits(copies=0)
-    assert not waits(tokens=1, now_s=GONE_S - CUT_OVER_RESERVE_S - 0.2)
