Ask unknown zones only in every fourth round

Cause: in a fleet of two builds the older one logged each question as unreadable: 170 lines in 8 s for five newer daemons.

Change: the question goes out when a daemon is met, then in every fourth round.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -41,6 +41,9 @@
 # the first rounds of a daemon.
 MEMBER_LIST_ROUNDS = 4
 STARTUP_ROUNDS = 40
+# Members whose availability zone is unknown are asked once in this many
+# rounds, and when they are met.
+ZONE_QUESTION_ROUNDS = 4
 # Absorbs timers that fire slightly early or late.
 DUE_SLACK_S = 0.05
 
@@ -197,11 +200,13 @@
         members = self.node.members
         peers = len(self.live)
         self.rounds += 1
+        # Builds that know no introductions log each question.
+        is_question_due = self.rounds % ZONE_QUESTION_ROUNDS == 0
         live: list[Member] = []
         for member in members.members.values():
             if member.address in self.live:
                 live.append(member)
-                if member.availability_zone is None:
+                if member.availability_zone is None and is_question_due:
                     self._ask_zone(member)
             elif self._should_try_silent_members():
                 self._send(member, message)
