Send distributors one heartbeat a round

Cause: a round went to the distributors for their echo and to all members again, so small fleets sent four heartbeats twice.

Change: the round leaves them out; one test counts the messages.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -216,9 +216,11 @@
                 self._send(member, message)
             return
         self.next_round_s = now_s + heartbeat_interval_s(peers)
-        for member in members.distributors(now_s):
+        distributors = members.distributors(now_s)
+        for member in distributors:
             self._send(member, message)
-        self._spread_heartbeat(message, live)
+        others = [member for member in live if member not in distributors]
+        self._spread_heartbeat(message, others)
 
     def _should_try_silent_members(self) -> bool:
         if self.rounds <= FIRST_CONTACT_ROUNDS:
--- a/tests/test_gossip_spread.py
+++ b/tests/test_gossip_spread.py
@@ -15,6 +15,7 @@
     FORWARD_PREFIX,
     INTRODUCTION_PREFIX,
 )
+from plantainsail.entry.heartbeats import make_heartbeat
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.members import Introduction, Member
 from plantainsail.routing.spread import (
@@ -145,6 +146,23 @@
     assert forwarded
 
 
+async def test_each_daemon_gets_one_heartbeat_a_round(
+    daemons: list[EntryDaemon], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gossip = daemons[-1].gossip
+    sent: Counter[str] = Counter()
+
+    def record(member: Member, _: bytes) -> None:
+        sent[member.address] += 1
+
+    monkeypatch.setattr(gossip, "_send_data", record)
+    node = gossip.node
+    heartbeat = make_heartbeat(node, (), is_whole=True)
+    gossip._send_round(heartbeat, node.now_s())
+    assert len(sent) == MIN_FORWARDED_ZONE
+    assert set(sent.values()) == {1}
+
+
 async def test_a_daemon_that_asks_for_a_zone_gets_it(
     daemons: list[EntryDaemon],
 ) -> None:
