--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -265,6 +265,7 @@
         """Update the sender's state; return None for an old message."""
         if heartbeat.address == self.address:
             return None
+        known = len(self.members)
         self.add(heartbeat.address)
         member = self.members[heartbeat.address]
         if heartbeat.nonce in member.earlier_nonces:
@@ -273,6 +274,7 @@
             member.start_run(heartbeat.nonce)
         if heartbeat.sequence <= member.sequence:
             return None
+        was_live = self._is_live(member, now_s)
         member.sequence = heartbeat.sequence
         member.last_heartbeat_s = now_s
         member.sent_ms = heartbeat.sent_ms
@@ -281,9 +283,17 @@
         member.registry_revision = heartbeat.registry_revision
         for address in heartbeat.members:
             self.add(address)
-        self.largest = max(self.largest, len(self.live(now_s)) + 1)
+        if not was_live or len(self.members) > known:
+            # The number of live daemons can't have grown otherwise, and
+            # counting them takes time in a large fleet.
+            self.largest = max(self.largest, len(self.live(now_s)) + 1)
         return member
 
+    def _is_live(self, member: Member, now_s: float) -> bool:
+        if member.last_heartbeat_s is None:
+            return False
+        return now_s - member.last_heartbeat_s <= self.silence_limit_s()
+
     def silence_limit_s(self) -> float:
         """Return the silence after which a daemon counts as dead."""
         interval_s = heartbeat_interval_s(len(self.members))
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -16,7 +16,8 @@
 from plantainsail.routing.reading import DEFAULT_READ_TOKENS_PER_S
 
 # The planned memory of an engine is what all its generations hold when
-# they end.  A new generation may raise it to this share of the memory.
+# they end.  A new generation may raise it to this share of the memory,
+# which is over 1 because they do not all end at the same time.
 MAX_MEMORY_SHARE = 1.02
 # A short generation ends before the long ones there have grown to their
 # planned size, so it may raise the planned memory further.
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -3,6 +3,8 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from plantainsail.entry.feed import PROOF_CHECK_INTERVAL_S
 from plantainsail.routing.in_force import (
@@ -69,6 +71,22 @@
     )
 
 
+@given(st.lists(st.tuples(st.integers(0, 19), st.floats(0.0, 1.0))))
+def test_the_largest_fleet_equals_a_count_at_each_heartbeat(
+    received: list[tuple[int, float]],
+) -> None:
+    members = Members(OWN, ())
+    largest = 1
+    now_s = 0.0
+    for sequence, (number, pause_s) in enumerate(received):
+        now_s += pause_s
+        listed = (f"b:{number % 3}",)
+        message = heartbeat(f"a:{number}", sequence, members=listed)
+        members.record_heartbeat(message, now_s)
+        largest = max(largest, len(members.live(now_s)) + 1)
+        assert members.largest == largest
+
+
 def test_a_late_heartbeat_of_an_earlier_run_is_dropped(
     members: Members,
 ) -> None:
