Greet each silent member once

Cause: a daemon that met a peer sent a heartbeat to all members that it had not heard yet, again with each further peer.

Change: each silent member is greeted once; the rounds, which reach silent members in a daemon's first seconds, do the rest.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -171,9 +171,8 @@
             self.node, own_loads(self.node), is_whole=True
         )
         self._send(member, message)
-        for other in list(self.node.members.members.values()):
-            if other.last_heartbeat_s is None:
-                self._send(other, message)
+        for other in self.node.members.take_ungreeted():
+            self._send(other, message)
 
     async def _send_heartbeats(self) -> None:
         while True:
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -184,8 +184,9 @@
     `nonce` names the daemon's run, `sequence` the heartbeat within it,
     and `sent_ms` is its time on the daemon's clock.  `earlier_nonces`
     name the runs before it.  `availability_zone` is None until the
-    daemon has introduced itself.  `ahead` is set while this daemon has
-    older data than the member.
+    daemon has introduced itself.  `is_greeted` is set once a heartbeat
+    was sent to it outside of the rounds.  `ahead` is set while this
+    daemon has older data than the member.
     """
 
     def __init__(self, address: str) -> None:
@@ -196,6 +197,7 @@
         self.last_heartbeat_s: float | None = None
         self.sent_ms = -1
         self.availability_zone: str | None = None
+        self.is_greeted = False
         self.is_leaving = False
         self.configuration_version = -1
         self.registry_revision = -1
@@ -310,6 +312,19 @@
                 live.append(member)
         return live
 
+    def take_ungreeted(self) -> list[Member]:
+        """Return silent members to greet, each of them only once.
+
+        A daemon that starts learns of a large fleet within moments, and
+        greeting all silent members with each news would flood it.
+        """
+        ungreeted: list[Member] = []
+        for member in self.members.values():
+            if member.last_heartbeat_s is None and not member.is_greeted:
+                member.is_greeted = True
+                ungreeted.append(member)
+        return ungreeted
+
     def rank(self, now_s: float) -> int:
         """Return how many live daemons precede this one by address.
 
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -87,6 +87,17 @@
         assert members.largest == largest
 
 
+def test_each_silent_member_is_greeted_once(members: Members) -> None:
+    """Greetings of a fleet that starts must not grow with its cube."""
+    greeted: list[str] = []
+    for number in range(50):
+        listed = tuple(f"b:{number}-{n}" for n in range(3))
+        message = heartbeat(f"a:{number}", 1, members=listed)
+        members.record_heartbeat(message, 0.0)
+        greeted += [one.address for one in members.take_ungreeted()]
+    assert len(greeted) == len(set(greeted)) == 151
+
+
 def test_a_late_heartbeat_of_an_earlier_run_is_dropped(
     members: Members,
 ) -> None:
