Add up the loads once for each round of choices

Change: view_service makes the totals once, for the engines and for what departures mean; one pass over the waiting generations shares the view of a service, since it ends with the first that is assigned. Moves use the same function.

--- a/src/plantainsail/entry/evacuation.py
+++ b/src/plantainsail/entry/evacuation.py
@@ -6,7 +6,7 @@
 
 from plantainsail.entry.mover import CopyResult, EngineMover
 from plantainsail.entry.node import EntryNode
-from plantainsail.entry.views import engine_views
+from plantainsail.entry.views import view_service
 from plantainsail.routing.evacuation import (
     COPY_RETRY_S,
     CUT_OVER,
@@ -186,7 +186,8 @@
         zone = source.availability_zone
         now_s = self.node.now_s()
         candidates: list[EngineView] = []
-        for view in engine_views(self.node, self.departing.service):
+        service = view_service(self.node, self.departing.service)
+        for view in service.engines:
             identifier = view.upstream.identifier
             if identifier == source.identifier:
                 continue
--- a/src/plantainsail/entry/views.py
+++ b/src/plantainsail/entry/views.py
@@ -1,7 +1,9 @@
 """Combines registry, loads and paces into placement's engine views."""
 
+from typing import NamedTuple
+
 from plantainsail.entry.node import EntryNode
-from plantainsail.routing.fleet_loads import NO_LOAD
+from plantainsail.routing.fleet_loads import NO_LOAD, UpstreamLoad
 from plantainsail.routing.model import RoutedUpstream, Service
 from plantainsail.routing.placement import (
     DEFAULT_SLOWNESS,
@@ -13,12 +15,30 @@
 RECENT_DEPARTURE_S = 30.0
 
 
-def engine_views(node: EntryNode, service: Service) -> list[EngineView]:
-    """Return the current views of a service's engines, shuffled.
+class ServiceView(NamedTuple):
+    """A service's engines, shuffled, and what its departures mean."""
+
+    engines: list[EngineView]
+    departing: Departing
 
-    Each view joins what this daemon knows of one engine.
-    """
+
+def view_service(node: EntryNode, service: Service) -> ServiceView:
+    """Return the current view of a service."""
     now_s = node.now_s()
+    loads = node.fleet_loads.totals(now_s)
+    return ServiceView(
+        _engine_views(node, service, loads, now_s),
+        _departing(node, service, loads, now_s),
+    )
+
+
+def _engine_views(
+    node: EntryNode,
+    service: Service,
+    loads: dict[str, UpstreamLoad],
+    now_s: float,
+) -> list[EngineView]:
+    """Join what this daemon knows of each engine."""
     upstreams = node.registry.usable_upstreams(service.name)
     usual_s = {
         upstream.identifier: node.paces.usual_s(upstream.identifier, now_s)
@@ -27,7 +47,6 @@
     known_s = [pause_s for pause_s in usual_s.values() if pause_s]
     fastest_s = min(known_s) if known_s else 0.0
     avoided = _avoided_engines(node, upstreams, now_s)
-    loads = node.fleet_loads.totals(now_s)
     views: list[EngineView] = []
     for upstream in upstreams:
         identifier = upstream.identifier
@@ -51,16 +70,18 @@
     return views
 
 
-def departing_engines(
-    node: EntryNode, service: Service, now_s: float
+def _departing(
+    node: EntryNode,
+    service: Service,
+    loads: dict[str, UpstreamLoad],
+    now_s: float,
 ) -> Departing:
-    """Return what the departures of a service's engines amount to."""
     tokens = 0
     is_frequent = False
     for identifier, departure in node.registry.departures.items():
         if departure.upstream.service != service.name:
             continue
-        tokens += node.fleet_loads.load_of(identifier, now_s).memory_tokens
+        tokens += loads.get(identifier, NO_LOAD).memory_tokens
         if now_s - departure.at_s <= RECENT_DEPARTURE_S:
             is_frequent = True
     return Departing(tokens, is_frequent)
--- a/src/plantainsail/entry/waiting.py
+++ b/src/plantainsail/entry/waiting.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from plantainsail.entry.node import EntryNode
-from plantainsail.entry.views import departing_engines, engine_views
+from plantainsail.entry.views import ServiceView, view_service
 from plantainsail.routing.model import Service
 from plantainsail.routing.placement import (
     EngineChoice,
@@ -81,9 +81,11 @@
         """Assign an engine to the first generation that fits on one.
 
         Only one is assigned at a time, since the choice for the next
-        must include the load of the first.
+        must include the load of the first.  Until then all generations
+        of a service are judged by the same view of it.
         """
         now_s = self.node.now_s()
+        views: dict[str, ServiceView] = {}
         self.waiters.sort(
             key=lambda waiter: waiting_order(
                 waiter.claim, waiter.prompt_read_s, now_s
@@ -95,24 +97,29 @@
             ):
                 self._finish_wait(waiter, None)
                 continue
-            choice = self._choose(waiter, now_s)
+            service = waiter.service
+            if service.name not in views:
+                views[service.name] = view_service(self.node, service)
+            choice = _choose(waiter, views[service.name], now_s)
             if choice is not None:
                 self._finish_wait(waiter, choice)
                 return
 
-    def _choose(self, waiter: Waiter, now_s: float) -> EngineChoice | None:
-        requirement = engine_requirement(
-            waiter.claim, waiter.prompt_read_s, now_s
-        )
-        views = engine_views(self.node, waiter.service)
-        departing = departing_engines(self.node, waiter.service, now_s)
-        return choose_engine(
-            views, waiter.need, requirement.read_limit_s, departing
-        )
-
     def _finish_wait(
         self, waiter: Waiter, choice: EngineChoice | None
     ) -> None:
         self.waiters.remove(waiter)
         if not waiter.choice.done():
             waiter.choice.set_result(choice)
+
+
+def _choose(
+    waiter: Waiter, view: ServiceView, now_s: float
+) -> EngineChoice | None:
+    requirement = engine_requirement(waiter.claim, waiter.prompt_read_s, now_s)
+    return choose_engine(
+        view.engines,
+        waiter.need,
+        requirement.read_limit_s,
+        view.departing,
+    )
