Ask in one place whether a socket has something to read

Cause: the protocol that drains connections and the listener polled sockets with the same lines, and the protocol's shutdown repeated what uvicorn's does for an answer in progress.

Change: is_any_readable serves both; shutdown calls uvicorn's where the connection is answering or idle, and leaves it open otherwise.

Measured: behaviour unchanged; the tests of planned stops, of draining and of requests pass.

--- a/src/plantainsail/api/draining_http.py
+++ b/src/plantainsail/api/draining_http.py
@@ -5,10 +5,20 @@
 """
 
 import select
+import socket
+from collections.abc import Iterable
 
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 
+def is_any_readable(sockets: Iterable[socket.socket]) -> bool:
+    """Return whether bytes or connections wait in any socket."""
+    poll = select.poll()
+    for sock in sockets:
+        poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class DrainingProtocol(H11Protocol):
     """Answers what callers have begun before a connection closes."""
 
@@ -19,12 +29,17 @@
         """Return whether the caller has not sent any request yet."""
         return self.cycle is None
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether the answer to a request is in progress."""
+        return self.cycle is not None and not self.cycle.response_complete
+
     @property
     def is_in_request(self) -> bool:
         """Return whether a request is being received or answered."""
-        if self.cycle is not None and not self.cycle.response_complete:
+        if self.is_answering or self.conn.trailing_data[0]:
             return True
-        return bool(self.conn.trailing_data[0]) or self._has_unread_bytes()
+        return is_any_readable([self.transport.get_extra_info("socket")])
 
     def shutdown(self) -> None:
         """Close the connection if it is idle, else after its request.
@@ -33,18 +48,12 @@
         that.
         """
         self.is_stopping = True
-        if not self.is_new and not self.is_in_request:
+        is_idle = not self.is_new and not self.is_in_request
+        if self.is_answering or is_idle:
             super().shutdown()
-        elif self.cycle is not None and not self.cycle.response_complete:
-            self.cycle.keep_alive = False
 
     def on_response_complete(self) -> None:
         """Close the connection after its last answer."""
         super().on_response_complete()
         if self.is_stopping and not self.transport.is_closing():
             self.shutdown()
-
-    def _has_unread_bytes(self) -> bool:
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
-        return bool(poll.poll(0))
--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import logging
-import select
 import signal
 from collections.abc import Awaitable, Callable
 
@@ -16,6 +15,7 @@
 from starlette.routing import Mount, Route
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from plantainsail.api.draining_http import DrainingProtocol, is_any_readable
 from plantainsail.api.listener import listener_config
 from plantainsail.clock import Clock
 from plantainsail.entry.caller_protocol import CallerProtocol
@@ -103,7 +103,7 @@
         is set.
         """
         for connection in self.server.server_state.connections:
-            assert isinstance(connection, CallerProtocol)
+            assert isinstance(connection, DrainingProtocol)
             if connection.is_in_request:
                 return True
             if counts_new and connection.is_new:
@@ -112,11 +112,7 @@
 
     def has_pending_connections(self) -> bool:
         """Return whether connections wait to be accepted."""
-        poll = select.poll()
-        for server in self.servers:
-            for sock in server.sockets:
-                poll.register(sock, select.POLLIN)
-        return bool(poll.poll(0))
+        return any(is_any_readable(one.sockets) for one in self.servers)
 
     def stop(self) -> None:
         """Accept no more connections."""
