Write the rounds and the forwarding of gossip once

Cause: two methods asked by the same lines whether a round is a first or a regular one, a third place did half of it, two methods sent to forwarders by the same loop, and three callers put together a whole heartbeat.

Change: _is_due, _send_to_forwarders and make_whole_heartbeat. Whether silent members are due is asked once a round, not for each of them.

Measured: behaviour unchanged; entry_fleet, gossip_spread and entry_restart pass.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -13,7 +13,7 @@
 from plantainsail.entry.heartbeats import (
     apply_heartbeat,
     make_heartbeat,
-    own_loads,
+    make_whole_heartbeat,
 )
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.snapshot import SnapshotExchange
@@ -126,9 +126,7 @@
 
     def announce(self) -> None:
         """Send all daemons a heartbeat now, such as on leaving."""
-        message = make_heartbeat(
-            self.node, own_loads(self.node), is_whole=True
-        )
+        message = make_whole_heartbeat(self.node)
         for member in list(self.node.members.members.values()):
             self._send(member, message)
 
@@ -167,9 +165,7 @@
         """
         self.node.fleet_loads.forget(member.address)
         self._ask_zone(member)
-        message = make_heartbeat(
-            self.node, own_loads(self.node), is_whole=True
-        )
+        message = make_whole_heartbeat(self.node)
         self._send(member, message)
         for other in self.node.members.take_ungreeted():
             self._send(other, message)
@@ -178,10 +174,8 @@
         while True:
             now_s = self.node.now_s()
             self._update_live_peers(now_s)
-            message = make_heartbeat(
-                self.node, own_loads(self.node), is_whole=True
-            )
-            if not self._should_list_members():
+            message = make_whole_heartbeat(self.node)
+            if not self._is_due(STARTUP_ROUNDS, MEMBER_LIST_ROUNDS):
                 message = message._replace(members=())
             if now_s + DUE_SLACK_S < self.next_round_s:
                 for member in self.node.members.distributors(now_s):
@@ -199,15 +193,18 @@
         members = self.node.members
         peers = len(self.live)
         self.rounds += 1
+        is_silent_due = self._is_due(
+            FIRST_CONTACT_ROUNDS, SILENT_MEMBER_ROUNDS
+        )
         # Builds that know no introductions log each question.
-        is_question_due = self.rounds % ZONE_QUESTION_ROUNDS == 0
+        is_question_due = self._is_due(0, ZONE_QUESTION_ROUNDS)
         live: list[Member] = []
         for member in members.members.values():
             if member.address in self.live:
                 live.append(member)
                 if member.availability_zone is None and is_question_due:
                     self._ask_zone(member)
-            elif self._should_try_silent_members():
+            elif is_silent_due:
                 self._send(member, message)
         if members.is_distributor(now_s):
             self.next_round_s = now_s + distributor_interval_s(peers)
@@ -221,19 +218,15 @@
         others = [member for member in live if member not in distributors]
         self._spread_heartbeat(message, others)
 
-    def _should_try_silent_members(self) -> bool:
-        if self.rounds <= FIRST_CONTACT_ROUNDS:
-            return True
-        return self.rounds % SILENT_MEMBER_ROUNDS == 0
+    def _is_due(self, first_rounds: int, interval_rounds: int) -> bool:
+        """Return whether something is done in the present round.
 
-    def _should_list_members(self) -> bool:
-        """Return whether this round's heartbeats list other daemons.
-
-        A daemon that started recently lists them in every round.
+        It is done in each of the daemon's first rounds, and in one of
+        `interval_rounds` afterwards.
         """
-        if self.rounds <= STARTUP_ROUNDS:
+        if self.rounds <= first_rounds:
             return True
-        return self.rounds % MEMBER_LIST_ROUNDS == 0
+        return self.rounds % interval_rounds == 0
 
     async def _send_load_changes(self) -> None:
         while True:
@@ -276,14 +269,16 @@
             return
         self.sequence += 1
         data = ENCODER.encode(message._replace(sequence=self.sequence))
-        for member in receivers.forwarders:
-            self._send_data(member, FORWARD_PREFIX + data)
+        self._send_to_forwarders(receivers, data)
 
     def _spread(self, data: bytes, members: list[Member]) -> None:
         """Send the same message to many members."""
         receivers = self._receivers(members)
         for member in receivers.direct:
             self._send_data(member, data)
+        self._send_to_forwarders(receivers, data)
+
+    def _send_to_forwarders(self, receivers: Receivers, data: bytes) -> None:
         for member in receivers.forwarders:
             self._send_data(member, FORWARD_PREFIX + data)
 
--- a/src/plantainsail/entry/heartbeats.py
+++ b/src/plantainsail/entry/heartbeats.py
@@ -13,8 +13,13 @@
 from plantainsail.routing.registry import DepartureNotice
 
 
-def own_loads(node: EntryNode) -> tuple[LoadEntry, ...]:
-    """Return this daemon's loads on upstreams, with speeds it saw."""
+def make_whole_heartbeat(node: EntryNode) -> Heartbeat:
+    """Return a heartbeat with all of this daemon's loads."""
+    return make_heartbeat(node, _own_loads(node), is_whole=True)
+
+
+def _own_loads(node: EntryNode) -> tuple[LoadEntry, ...]:
+    """Return the loads on upstreams, with the speeds that were seen."""
     paces = node.paces.local_paces(node.now_s())
     own = node.fleet_loads.own
     entries: list[LoadEntry] = []
