Compute a caller's patience and the kept room once

Cause: the claim of a waiting generation and the limit of a stalled stream both worked out how long a caller waits; the room for departures added the departing memory to a sum and took it off again.

Change: caller_patience_s serves both; the sum is left as it is.

Measured: behaviour unchanged; placement, departures, endless answers and streams pass.

--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -146,18 +146,19 @@
         return math.inf
     total = 0
     largest = 0
-    planned = departing.memory_tokens
+    planned = 0
     for view in views:
         memory_tokens = view.traits.memory_tokens
         total += memory_tokens
         largest = max(largest, memory_tokens)
         planned += view.load.memory_tokens
-    if departing.is_frequent:
-        remaining = total - largest
-        planned_here = planned - departing.memory_tokens
-        after_next = MAX_MOVE_MEMORY_SHARE * remaining - planned_here
-        return min(after_next, MAX_MOVE_MEMORY_SHARE * total - planned)
-    return MAX_MOVE_MEMORY_SHARE * total - planned
+    after_moves = (
+        MAX_MOVE_MEMORY_SHARE * total - planned - departing.memory_tokens
+    )
+    if not departing.is_frequent:
+        return after_moves
+    after_next = MAX_MOVE_MEMORY_SHARE * (total - largest) - planned
+    return min(after_moves, after_next)
 
 
 def read_time_s(view: EngineView, need: GenerationNeed) -> float:
--- a/src/plantainsail/routing/urgency.py
+++ b/src/plantainsail/routing/urgency.py
@@ -67,27 +67,34 @@
     `spent_s` is the time since its caller's first attempt; a repeated
     request is often late already when it arrives.
     """
-    patience = max(MIN_PATIENCE_S, PATIENCE_OBJECTIVES * objective_s)
     return Claim(
         priority,
         arrived_s,
         arrived_s - spent_s + objective_s,
-        min(arrived_s + patience, deadline_s),
+        min(arrived_s + caller_patience_s(objective_s), deadline_s),
     )
 
 
-def stall_limit_s(objective_s: float, pause_s: float) -> float:
-    """Return after which time without an event a stream has stalled.
+def caller_patience_s(objective_s: float, pause_s: float = 0.0) -> float:
+    """Return how long a caller waits for the next event of a stream.
 
-    It is longer than callers wait, so a stream that is only slow is
-    left to the caller's own decision.
+    `pause_s` is the longest pause that its route names; it counts only
+    between two events.
     """
-    patience_s = max(
+    return max(
         MIN_PATIENCE_S,
         PATIENCE_OBJECTIVES * objective_s,
         PATIENCE_PAUSES * pause_s,
     )
-    return STALL_PATIENCE_SHARE * patience_s
+
+
+def stall_limit_s(objective_s: float, pause_s: float) -> float:
+    """Return after which time without an event a stream has stalled.
+
+    It is longer than callers wait, so a stream that is only slow is
+    left to the caller's own decision.
+    """
+    return STALL_PATIENCE_SHARE * caller_patience_s(objective_s, pause_s)
 
 
 def waiting_order(
