Give the datagrams a module; check liveness of a member once

Cause: members.py had grown to 413 lines, a quarter of them message types, and its new check of one member repeated the condition in the list of live ones.

Change: routing/messages.py holds the types of the messages; Member has is_live, which both use.

--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/entry/deaths.py
@@ -8,7 +8,7 @@
 
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.policy.quarantine import Quarantine, Suspect
-from plantainsail.routing.members import SuspectEntry
+from plantainsail.routing.messages import SuspectEntry
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.upstreams.single_use import (
     ConnectError,
--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -17,7 +17,7 @@
     SourceError,
 )
 from plantainsail.routing.in_force import is_read_due
-from plantainsail.routing.members import ListChange
+from plantainsail.routing.messages import ListChange
 from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
 
 WATCH_TIMEOUT_S = 8.0
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -20,15 +20,17 @@
 from plantainsail.routing.fleet_loads import PEER_SILENCE_S
 from plantainsail.routing.members import (
     ALL_WATCH_FLEET,
-    Heartbeat,
-    Introduction,
-    ListChange,
-    LoadEntry,
     Member,
     contact_interval_s,
     distributor_interval_s,
     heartbeat_interval_s,
 )
+from plantainsail.routing.messages import (
+    Heartbeat,
+    Introduction,
+    ListChange,
+    LoadEntry,
+)
 from plantainsail.routing.spread import Receivers, choose_receivers
 from plantainsail.settings import split_address
 
--- a/src/plantainsail/entry/heartbeats.py
+++ b/src/plantainsail/entry/heartbeats.py
@@ -3,7 +3,7 @@
 from plantainsail.entry import deaths
 from plantainsail.entry.node import EntryNode
 from plantainsail.routing.fleet_loads import UpstreamLoad
-from plantainsail.routing.members import (
+from plantainsail.routing.messages import (
     AvoidedEntry,
     Heartbeat,
     LeavingEntry,
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -4,9 +4,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from plantainsail.routing.fleet_loads import UpstreamLoad
-from plantainsail.routing.model import RoutedUpstream
-from plantainsail.routing.pace import Pace
+from plantainsail.routing.messages import Heartbeat
 
 # The shortest time between two heartbeats to the same peer.
 HEARTBEAT_S = 0.25
@@ -56,109 +54,6 @@
     return min(MAX_CONTACT_INTERVAL_S, distributor_interval_s(peers))
 
 
-class LoadEntry(NamedTuple):
-    """A daemon's own load on one upstream, and the speeds it saw.
-
-    `identifier` names the upstream.  `read_tokens_s` is how many prompt
-    tokens the engine reads a second.
-    """
-
-    identifier: str
-    load: UpstreamLoad
-    pace: Pace | None = None
-    read_tokens_s: float | None = None
-
-
-class SuspectEntry(NamedTuple):
-    """A request during which engines died.
-
-    `deaths` names the engines, and `age_ms` is the time since the last
-    of these deaths.
-    """
-
-    fingerprint: int
-    deaths: tuple[str, ...]
-    age_ms: int
-
-
-class LeavingEntry(NamedTuple):
-    """An upstream that gave notice that it leaves, and how soon.
-
-    `identifier` and `born_ms`, its start time in milliseconds, name one
-    incarnation of the upstream.
-    """
-
-    identifier: str
-    born_ms: int
-    gone_in_ms: int
-
-
-class AvoidedEntry(NamedTuple):
-    """An engine that cut streams, and how long it is still avoided."""
-
-    identifier: str
-    for_ms: int
-
-
-class Heartbeat(NamedTuple):
-    """One message from a daemon to another.
-
-    `nonce` names the sender's run, and `sequence` counts the heartbeats
-    of that run.  `sent_ms` is a time on the sender's clock.  `echo_ms`
-    is the newest `sent_ms` that the sender got from the receiver, and
-    `echo_nonce` the nonce of the receiver's run at that time.  The
-    sender's proof of freshness is `configuration_age_ms` old; -1 means
-    that the sender has none.  A message with `is_whole` carries all
-    loads, and any other message only the changed ones.
-    """
-
-    address: str
-    nonce: int
-    sequence: int
-    sent_ms: int
-    echo_ms: int
-    echo_nonce: int
-    is_leaving: bool
-    configuration_version: int
-    configuration_age_ms: int
-    registry_revision: int
-    is_whole: bool
-    loads: tuple[LoadEntry, ...]
-    members: tuple[str, ...] = ()
-    suspects: tuple[SuspectEntry, ...] = ()
-    leaving: tuple[LeavingEntry, ...] = ()
-    avoided: tuple[AvoidedEntry, ...] = ()
-
-
-class Introduction(NamedTuple):
-    """Tells a daemon the sender's availability zone.
-
-    The receiver answers with its own if `is_question` is set.  It is a
-    message of its own, since builds that don't know it must still read
-    heartbeats.
-    """
-
-    address: str
-    availability_zone: str
-    is_question: bool
-
-
-class ListChange(NamedTuple):
-    """Changed upstream entries, sent by a watching daemon to others.
-
-    It contains all changes after revision `after` up to `revision`, so
-    a receiver whose revision lies between can apply it.  `written` are
-    the entries that were added or updated, and `removed` the
-    identifiers of those removed.  `address` is the sender's.
-    """
-
-    address: str
-    after: int
-    revision: int
-    written: tuple[RoutedUpstream, ...]
-    removed: tuple[str, ...]
-
-
 # In fleets below this size every daemon watches the configuration
 # service itself; in larger ones only the first `WATCHERS` daemons by
 # rank do, for all.  They are also the distributors of any fleet.
@@ -203,6 +98,12 @@
         self.registry_revision = -1
         self.ahead: AheadState | None = None
 
+    def is_live(self, silence_limit_s: float, now_s: float) -> bool:
+        """Return whether the last heartbeat is recent enough."""
+        if self.last_heartbeat_s is None:
+            return False
+        return now_s - self.last_heartbeat_s <= silence_limit_s
+
     def start_run(self, nonce: int) -> None:
         """Record that another run of the daemon sends heartbeats."""
         if self.last_heartbeat_s is not None:
@@ -276,7 +177,7 @@
             member.start_run(heartbeat.nonce)
         if heartbeat.sequence <= member.sequence:
             return None
-        was_live = self._is_live(member, now_s)
+        was_live = member.is_live(self.silence_limit_s(), now_s)
         member.sequence = heartbeat.sequence
         member.last_heartbeat_s = now_s
         member.sent_ms = heartbeat.sent_ms
@@ -291,11 +192,6 @@
             self.largest = max(self.largest, len(self.live(now_s)) + 1)
         return member
 
-    def _is_live(self, member: Member, now_s: float) -> bool:
-        if member.last_heartbeat_s is None:
-            return False
-        return now_s - member.last_heartbeat_s <= self.silence_limit_s()
-
     def silence_limit_s(self) -> float:
         """Return the silence after which a daemon counts as dead."""
         interval_s = heartbeat_interval_s(len(self.members))
@@ -306,9 +202,7 @@
         silence_limit_s = self.silence_limit_s()
         live: list[Member] = []
         for member in self.members.values():
-            if member.last_heartbeat_s is None:
-                continue
-            if now_s - member.last_heartbeat_s <= silence_limit_s:
+            if member.is_live(silence_limit_s, now_s):
                 live.append(member)
         return live
 
--- /dev/null
+++ b/src/plantainsail/routing/messages.py
@@ -0,0 +1,110 @@
+"""The messages that entry daemons exchange by datagrams."""
+
+from typing import NamedTuple
+
+from plantainsail.routing.fleet_loads import UpstreamLoad
+from plantainsail.routing.model import RoutedUpstream
+from plantainsail.routing.pace import Pace
+
+
+class LoadEntry(NamedTuple):
+    """A daemon's own load on one upstream, and the speeds it saw.
+
+    `identifier` names the upstream.  `read_tokens_s` is how many prompt
+    tokens the engine reads a second.
+    """
+
+    identifier: str
+    load: UpstreamLoad
+    pace: Pace | None = None
+    read_tokens_s: float | None = None
+
+
+class SuspectEntry(NamedTuple):
+    """A request during which engines died.
+
+    `deaths` names the engines, and `age_ms` is the time since the last
+    of these deaths.
+    """
+
+    fingerprint: int
+    deaths: tuple[str, ...]
+    age_ms: int
+
+
+class LeavingEntry(NamedTuple):
+    """An upstream that gave notice that it leaves, and how soon.
+
+    `identifier` and `born_ms`, its start time in milliseconds, name one
+    incarnation of the upstream.
+    """
+
+    identifier: str
+    born_ms: int
+    gone_in_ms: int
+
+
+class AvoidedEntry(NamedTuple):
+    """An engine that cut streams, and how long it is still avoided."""
+
+    identifier: str
+    for_ms: int
+
+
+class Heartbeat(NamedTuple):
+    """One message from a daemon to another.
+
+    `nonce` names the sender's run, and `sequence` counts the heartbeats
+    of that run.  `sent_ms` is a time on the sender's clock.  `echo_ms`
+    is the newest `sent_ms` that the sender got from the receiver, and
+    `echo_nonce` the nonce of the receiver's run at that time.  The
+    sender's proof of freshness is `configuration_age_ms` old; -1 means
+    that the sender has none.  A message with `is_whole` carries all
+    loads, and any other message only the changed ones.
+    """
+
+    address: str
+    nonce: int
+    sequence: int
+    sent_ms: int
+    echo_ms: int
+    echo_nonce: int
+    is_leaving: bool
+    configuration_version: int
+    configuration_age_ms: int
+    registry_revision: int
+    is_whole: bool
+    loads: tuple[LoadEntry, ...]
+    members: tuple[str, ...] = ()
+    suspects: tuple[SuspectEntry, ...] = ()
+    leaving: tuple[LeavingEntry, ...] = ()
+    avoided: tuple[AvoidedEntry, ...] = ()
+
+
+class Introduction(NamedTuple):
+    """Tells a daemon the sender's availability zone.
+
+    The receiver answers with its own if `is_question` is set.  It is a
+    message of its own, since builds that don't know it must still read
+    heartbeats.
+    """
+
+    address: str
+    availability_zone: str
+    is_question: bool
+
+
+class ListChange(NamedTuple):
+    """Changed upstream entries, sent by a watching daemon to others.
+
+    It contains all changes after revision `after` up to `revision`, so
+    a receiver whose revision lies between can apply it.  `written` are
+    the entries that were added or updated, and `removed` the
+    identifiers of those removed.  `address` is the sender's.
+    """
+
+    address: str
+    after: int
+    revision: int
+    written: tuple[RoutedUpstream, ...]
+    removed: tuple[str, ...]
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -15,7 +15,7 @@
 from plantainsail.entry.heartbeats import make_heartbeat
 from plantainsail.entry.mover import CopyResult, DepartureStatus
 from plantainsail.routing.fleet_loads import UpstreamLoad
-from plantainsail.routing.members import ListChange
+from plantainsail.routing.messages import ListChange
 from plantainsail.routing.registry import DepartureNotice
 from soak.fleet import free_address
 from tests.standins.routed import (
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -12,7 +12,7 @@
 from plantainsail.policy.quarantine import Quarantine
 from plantainsail.routing import evacuation
 from plantainsail.routing.evacuation import DEFAULT_NOTICE_S
-from plantainsail.routing.members import SuspectEntry
+from plantainsail.routing.messages import SuspectEntry
 from tests.standins.routed import (
     NOT_EXECUTED,
     STREAM_END,
--- a/tests/test_gossip_spread.py
+++ b/tests/test_gossip_spread.py
@@ -17,7 +17,8 @@
 )
 from plantainsail.entry.heartbeats import make_heartbeat
 from plantainsail.routing.fleet_loads import UpstreamLoad
-from plantainsail.routing.members import Introduction, Member
+from plantainsail.routing.members import Member
+from plantainsail.routing.messages import Introduction
 from plantainsail.routing.spread import (
     FORWARDERS,
     MIN_FORWARDED_ZONE,
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -17,12 +17,12 @@
     MIN_SILENCE_LIMIT_S,
     UPSTREAMS_BEHIND_S,
     WATCHERS,
-    Heartbeat,
     Members,
     contact_interval_s,
     distributor_interval_s,
     heartbeat_interval_s,
 )
+from plantainsail.routing.messages import Heartbeat
 
 OWN = "10.0.0.2:7000"
 REVOCATION_S = 5.0
