Give the reading of whole events a module

Change: entry/event_reader.py reads the events of a connection and finds a stall; Generation passes them on.

--- /dev/null
+++ b/src/plantainsail/entry/event_reader.py
@@ -0,0 +1,54 @@
+"""Reads the events of one connection until it ends or stalls."""
+
+import asyncio
+
+from plantainsail.routing.event_frames import EventFrames, Frame
+from plantainsail.upstreams.single_use import (
+    CutShortError,
+    SingleUseConnection,
+)
+
+
+class EventReader:
+    """Reads events, and ends a stream without any for `limit_s`.
+
+    Bytes that complete no event are no progress, so the user of the
+    reader tells it of each new event.  Time before that, in which the
+    caller takes the events before, does not count as a stall.
+    """
+
+    def __init__(
+        self, connection: SingleUseConnection, limit_s: float
+    ) -> None:
+        self.connection = connection
+        self.limit_s = limit_s
+        self.frames = EventFrames()
+        self.stalled_at_s = 0.0
+        self.note_progress()
+
+    def note_progress(self) -> None:
+        """Record that a new event has been passed on."""
+        loop = asyncio.get_running_loop()
+        self.stalled_at_s = loop.time() + self.limit_s
+
+    async def read(self) -> list[Frame] | None:
+        """Return the events of the next piece, None at the end.
+
+        Raises `CutShortError` if the stream breaks off or stalls, and
+        `EventTooLongError` for an event without an end.
+        """
+        piece = await self._read_piece()
+        if piece is not None:
+            return self.frames.feed(piece)
+        if self.frames.rest:
+            raise CutShortError("ended within an event")
+        return None
+
+    async def _read_piece(self) -> bytes | None:
+        try:
+            async with asyncio.timeout_at(self.stalled_at_s) as timeout:
+                return await self.connection.read_piece()
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            raise CutShortError("stalled") from error
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -16,6 +16,7 @@
     DepartingGeneration,
     Evacuation,
 )
+from plantainsail.entry.event_reader import EventReader
 from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import (
@@ -24,11 +25,7 @@
     is_valid_answer_head,
     make_upstream_request,
 )
-from plantainsail.routing.event_frames import (
-    EventFrames,
-    EventTooLongError,
-    Frame,
-)
+from plantainsail.routing.event_frames import EventTooLongError, Frame
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.placement import GenerationNeed
@@ -251,47 +248,25 @@
     async def _relay_connection(self) -> None:
         """Pass on complete events until the stream ends.
 
-        Raises `CutShortError` if it breaks off or stalls.  Time in
-        which the caller takes no data does not count as a stall.
+        Raises `CutShortError` if it breaks off or stalls.
         """
         assert self.connection is not None
         route = self.request.route
         limit_s = stall_limit_s(route.objective_s, route.pause_s)
-        loop = asyncio.get_running_loop()
-        frames = EventFrames()
-        stalled_at_s = loop.time() + limit_s
+        reader = EventReader(self.connection, limit_s)
         while True:
-            piece = await self._read_piece(stalled_at_s)
-            if piece is None:
-                if frames.rest:
-                    raise CutShortError("ended within an event")
+            try:
+                frames = await reader.read()
+            except EventTooLongError as error:
+                raise GenerationLostError("an event is too long") from error
+            if frames is None:
                 return
             count = self.positions.count
-            data = self._accept_frames(frames, piece)
+            data = b"".join(self._accept_frame(frame) for frame in frames)
             if data:
                 await self.request.caller.write(data)
             if self.positions.count > count:
-                stalled_at_s = loop.time() + limit_s
-
-    async def _read_piece(self, stalled_at_s: float) -> bytes | None:
-        assert self.connection is not None
-        try:
-            async with asyncio.timeout_at(stalled_at_s) as timeout:
-                return await self.connection.read_piece()
-        except TimeoutError as error:
-            if not timeout.expired():
-                raise
-            raise CutShortError("stalled") from error
-
-    def _accept_frames(self, frames: EventFrames, piece: bytes) -> bytes:
-        """Return the data of the new events that a piece completes."""
-        data = b""
-        try:
-            for frame in frames.feed(piece):
-                data += self._accept_frame(frame)
-        except EventTooLongError as error:
-            raise GenerationLostError("an event is too long") from error
-        return data
+                reader.note_progress()
 
     def _accept_frame(self, frame: Frame) -> bytes:
         if frame.is_comment:
