Test that a refused copy is asked for again; share a test's steps

Cause: no test of its own showed that a copy which the target refused is asked for again, and two tests of planned stops wrote the same six steps. The set of given addresses stood between functions.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,6 +13,7 @@
 
 START_TIMEOUT_S = 20.0
 GRACE_S = 3.0
+GIVEN_ADDRESSES: set[str] = set()
 
 
 def own_loopback() -> str:
@@ -25,9 +26,6 @@
     return f"127.{1 + number % 250}.{1 + number // 250 % 250}.1"
 
 
-GIVEN_ADDRESSES: set[str] = set()
-
-
 def free_address() -> str:
     """Return an address that no other call and no process gets."""
     ip = own_loopback()
--- a/tests/test_entry_planned_stop.py
+++ b/tests/test_entry_planned_stop.py
@@ -54,6 +54,21 @@
     await daemon.stop()
 
 
+async def check_answered_while_draining(
+    daemon: EntryDaemon,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    request: bytes,
+) -> None:
+    """Send what is left of a request once the listener is closed."""
+    draining = asyncio.create_task(drain(daemon))
+    await until(lambda: not daemon.callers.servers[0].is_serving())
+    writer.write(request)
+    assert (await read_answer(reader)).status == 200
+    await draining
+    writer.close()
+
+
 async def test_request_on_a_new_connection_is_answered(
     daemon: EntryDaemon,
 ) -> None:
@@ -62,12 +77,7 @@
         "127.0.0.1", daemon.callers.port
     )
     await until(lambda: bool(daemon.callers.server.server_state.connections))
-    draining = asyncio.create_task(drain(daemon))
-    await until(lambda: not daemon.callers.servers[0].is_serving())
-    writer.write(REQUEST % 1)
-    assert (await read_answer(reader)).status == 200
-    await draining
-    writer.close()
+    await check_answered_while_draining(daemon, reader, writer, REQUEST % 1)
 
 
 async def test_request_in_a_socket_buffer_is_answered(
@@ -98,12 +108,9 @@
             for connection in daemon.callers.server.server_state.connections
         )
     )
-    draining = asyncio.create_task(drain(daemon))
-    await until(lambda: not daemon.callers.servers[0].is_serving())
-    writer.write((REQUEST % 1)[30:])
-    assert (await read_answer(reader)).status == 200
-    await draining
-    writer.close()
+    await check_answered_while_draining(
+        daemon, reader, writer, (REQUEST % 1)[30:]
+    )
 
 
 async def test_connections_in_the_backlog_are_served(
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -263,6 +263,25 @@
     assert env.daemon.node.fleet_loads.own == {}
 
 
+async def test_refused_first_copy_is_asked_for_again(
+    make_environment: MakeEnvironment,
+) -> None:
+    """The target had no room for a moment, early in the notice."""
+    env = await make_environment()
+    mover = env.engines.mover
+    mover.first = CopyResult(503)
+    env.engines.pause_s = 0.05
+    stream = env.stream()
+    await env.has_events(3)
+    env.drain()
+    await until(lambda: len(mover.calls) == 1)
+    mover.first = CopyResult(200, "h1")
+    response = await stream
+    assert (response.body, response.is_whole) == (WHOLE, True)
+    assert mover.calls == [False, False, True]
+    assert env.engines.run.max_running == 1
+
+
 async def test_hanging_final_copy_is_replaced_by_the_first_copy(
     make_environment: MakeEnvironment,
 ) -> None:
