Log the prompt parts of placed generations and of engine deaths

The lines 'generation placed' and 'engine died' now name the parts that other requests may share; the last one, which belongs to the request alone, is left out. No logic changes.

--- a/src/plantainsail/entry/dialect.py
+++ b/src/plantainsail/entry/dialect.py
@@ -6,6 +6,9 @@
 
 from typing import NamedTuple
 
+MAX_PROMPT_PARTS = 64
+MAX_PART_NAME_BYTES = 64
+
 
 class Dialect(NamedTuple):
     """The header names of one installation.
@@ -22,6 +25,7 @@
     not_executed: bytes = b"plantainsail-not-executed"
     signature: bytes = b"plantainsail-signature"
     tokens: bytes = b"plantainsail-tokens"
+    prompt_parts: bytes = b"plantainsail-prompt-parts"
     length_hint: bytes = b"plantainsail-length-hint"
     continue_from: bytes = b"plantainsail-continue-from"
     copy_to: bytes = b"plantainsail-copy-to"
@@ -66,6 +70,22 @@
     return TokenCounts(int(prompt), int(output))
 
 
+def parse_prompt_parts(value: bytes | None) -> tuple[str, ...]:
+    """Parse `NAME:TOKENS,NAME:TOKENS,…` into the names of shared parts.
+
+    The last part belongs to the request or its session alone and is
+    left out, as are names over `MAX_PART_NAME_BYTES` and parts beyond
+    the first `MAX_PROMPT_PARTS`.
+    """
+    parts: list[str] = []
+    for entry in (value or b"").split(b",")[:-1][:MAX_PROMPT_PARTS]:
+        name = entry.partition(b":")[0].strip()
+        if not name or len(name) > MAX_PART_NAME_BYTES:
+            continue
+        parts.append(name.decode("latin-1").lower())
+    return tuple(parts)
+
+
 def parse_decimal(value: bytes | None) -> float | None:
     """Parse a number without sign or exponent; None if malformed."""
     text = (value or b"").strip()
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -3,7 +3,12 @@
 import asyncio
 
 from plantainsail.entry import deaths
-from plantainsail.entry.dialect import parse_decimal, parse_token_counts
+from plantainsail.entry.dialect import (
+    Dialect,
+    parse_decimal,
+    parse_prompt_parts,
+    parse_token_counts,
+)
 from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.generation import (
     Generation,
@@ -198,6 +203,7 @@
             "engine died",
             request=request.identifier,
             upstream=upstream.identifier,
+            parts=prompt_parts_of(request, node.dialect),
         )
 
     def _record_silent_engine(self, upstream: str) -> None:
@@ -301,6 +307,7 @@
             memory_tokens=load.memory_tokens,
             running=load.running,
             need=generation.need.memory_tokens,
+            parts=prompt_parts_of(request, node.dialect),
             configuration=request.configuration_version,
         )
 
@@ -328,6 +335,13 @@
         )
 
 
+def prompt_parts_of(
+    request: RoutedRequest, dialect: Dialect
+) -> tuple[str, ...]:
+    """Return the names of the prompt parts that other requests share."""
+    return parse_prompt_parts(request.caller.get(dialect.prompt_parts))
+
+
 def estimate_need(request: RoutedRequest, node: EntryNode) -> GenerationNeed:
     """Return the engine memory that a request is expected to need.
 
