--- /dev/null
+++ b/tests/standins/crashing.py
@@ -0,0 +1,134 @@
+"""A fleet of two entry daemons on engines that requests can crash."""
+
+import asyncio
+
+from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.routing.model import RoutedUpstream
+from soak.fleet import free_address
+from tests.standins.routed import (
+    STREAM_END,
+    STREAM_HEAD,
+    CallerAnswer,
+    ReceivedRequest,
+    StandInCaller,
+    StandInSource,
+    StandInUpstream,
+    chunk,
+    configuration,
+    event,
+    reset,
+    start_entry,
+)
+from tests.standins.waiting import until
+
+ENGINES = 3
+EVENTS = 3
+PARTS = "plantainsail-prompt-parts"
+REQUEST_ID = "plantainsail-request-id"
+CRASHING_PART = "bad"
+
+
+class CrashingFleet:
+    """Daemons and engines; a crashed engine is replaced at once.
+
+    An engine crashes as it begins to write an answer on a prompt that
+    has the part `CRASHING_PART`, or to a request whose body is
+    `crashing_body`.  `crashes` counts these requests.
+    """
+
+    def __init__(self) -> None:
+        self.daemons: list[EntryDaemon] = []
+        self.sources: list[StandInSource] = []
+        self.engines: dict[str, StandInUpstream] = {}
+        self.addresses = [free_address(), free_address()]
+        self.crashing_body: bytes | None = None
+        self.crashes = 0
+        self.started = 0
+        self.requests = 0
+
+    async def start(self) -> None:
+        """Start the engines and the daemons, which find each other."""
+        entries = [await self._start_engine() for _ in range(ENGINES)]
+        for address in self.addresses:
+            source = StandInSource(configuration(), tuple(entries))
+            self.sources.append(source)
+            self.daemons.append(await self._start_daemon(source, address))
+        for daemon in self.daemons:
+            await until(lambda daemon=daemon: bool(daemon.gossip.live))
+
+    async def restart_daemon(self, index: int) -> None:
+        """Replace a daemon by a new process without memory."""
+        await self.daemons[index].stop()
+        self.daemons[index] = await self._start_daemon(
+            self.sources[index], self.addresses[index]
+        )
+        await until(lambda: bool(self.daemons[index].gossip.live))
+
+    async def stop(self) -> None:
+        """Stop all daemons and engines."""
+        for daemon in self.daemons:
+            await daemon.stop()
+        for engine in self.engines.values():
+            engine.stop()
+
+    async def stream(
+        self, parts: str, daemon: int, body: bytes = b"prompt"
+    ) -> CallerAnswer:
+        """Send a streaming request with the given prompt parts."""
+        self.requests += 1
+        caller = StandInCaller(self.daemons[daemon])
+        headers = {
+            PARTS: ",".join(f"{part}:50" for part in parts.split()),
+            REQUEST_ID: f"r{self.requests}",
+            "plantainsail-tokens": "200,12",
+        }
+        return await caller.call("/stream/x", headers, body)
+
+    async def settle(self) -> None:
+        """Wait until all daemons have judged the ended streams."""
+        for daemon in self.daemons:
+            tasks = daemon.stream.background_tasks
+            await until(lambda tasks=tasks: not tasks)
+
+    async def _start_daemon(
+        self, source: StandInSource, address: str
+    ) -> EntryDaemon:
+        daemon = await start_entry(
+            source, peer_address=address, seeds=(self.addresses[0],)
+        )
+        await until(daemon.node.is_ready)
+        return daemon
+
+    async def _start_engine(self) -> RoutedUpstream:
+        name = f"e{self.started}"
+        self.started += 1
+        engine = StandInUpstream(name, self._serve)
+        self.engines[name] = engine
+        return await engine.start()
+
+    async def _serve(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(STREAM_HEAD)
+        await writer.drain()
+        parts = request.headers.get(PARTS, "").split(",")
+        names = {part.partition(":")[0] for part in parts}
+        if CRASHING_PART in names or request.body == self.crashing_body:
+            name = request.headers["plantainsail-expected-upstream"]
+            await self._crash(name, writer)
+            return
+        for number in range(EVENTS):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        writer.write(STREAM_END)
+        await writer.drain()
+
+    async def _crash(self, name: str, writer: asyncio.StreamWriter) -> None:
+        self.crashes += 1
+        self.engines[name].stop()
+        entry = await self._start_engine()
+        reset(writer)
+        for source in self.sources:
+            gone = source.upstreams[name]._replace(is_draining=True)
+            source.put(entry)
+            source.put(gone)
