Quarantine parts of prompts that crash engines

Cause: a request was recognised by a hash of its organisation, target and body. Requests that share only a part of their prompts never have the same hash, so each crashed another engine: the belief was about too narrow a thing. Even right, it would have been lost: heartbeats repeated a suspect for 10 s only, and a daemon that started later never heard of it.

Change: deaths are counted against each part of the requests that had just begun on the engine, and sound answers clear their parts. A request is refused if a part of it stays the only explanation of a death after two in sequence; it is decided at arrival, while it waits and before it is sent. Peers get news at once and, repeated for as long as it holds, in each round; a daemon that starts gets it when it is met.

--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import NamedTuple
 
-from plantainsail.entry import deaths
+from plantainsail.entry import deaths, suspects
 from plantainsail.entry.caller import remove_hop_by_hop
 from plantainsail.entry.dialect import parse_token_counts
 from plantainsail.entry.evacuation import (
@@ -43,6 +43,9 @@
 HTTP_OK = 200
 # A stream that broke off waits at most this long for the final copy.
 MOVE_TIMEOUT_S = 1.5
+# A prompt that crashes engines does so as they begin to write.  One
+# that an engine answered for this long is sound.
+SOUND_RUN_S = 1.5
 
 
 class NotRunError(Exception):
@@ -69,11 +72,14 @@
         mover: EngineMover | None,
         request: RoutedRequest,
         need: GenerationNeed,
+        parts: tuple[str, ...] = (),
     ) -> None:
         self.node = node
         self.mover = mover
         self.request = request
         self.need = need
+        self.parts = parts
+        self.is_proven_sound = False
         self.upstream: RoutedUpstream | None = None
         self.load: UpstreamLoad | None = None
         self.connection: SingleUseConnection | None = None
@@ -174,6 +180,8 @@
         while True:
             try:
                 await self._relay_connection()
+                if not head.ends_with_connection:
+                    self._record_sound_run()
                 await caller.end()
                 return
             except CutShortError as error:
@@ -281,6 +289,8 @@
             self._record_first_event(now_s)
         else:
             self._record_pause(now_s - self.last_event_s, now_s)
+            if now_s - self.first_event_s >= SOUND_RUN_S:
+                self._record_sound_run()
         self.last_event_s = now_s
         return frame.data
 
@@ -301,6 +311,13 @@
         if departure is not None:
             self.start_evacuation(departure.at_s)
 
+    def _record_sound_run(self) -> None:
+        """Record once that the request does not crash its engine."""
+        if self.is_proven_sound or not self.has_begun:
+            return
+        self.is_proven_sound = True
+        suspects.record_sound_run(self.node, self.parts, self.first_event_s)
+
     def _record_pause(self, pause_s: float, now_s: float) -> None:
         assert self.upstream is not None
         self.node.paces.add(self.upstream.identifier, pause_s, now_s)
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -10,6 +10,7 @@
 import grpc
 import msgspec
 
+from plantainsail.entry import suspects
 from plantainsail.entry.heartbeats import (
     apply_heartbeat,
     make_heartbeat,
@@ -30,6 +31,7 @@
     Introduction,
     ListChange,
     LoadEntry,
+    SuspectParts,
 )
 from plantainsail.routing.spread import Receivers, choose_receivers
 from plantainsail.settings import split_address
@@ -53,12 +55,14 @@
 DECODER = msgspec.msgpack.Decoder(Heartbeat)
 LIST_CHANGE_DECODER = msgspec.msgpack.Decoder(ListChange)
 INTRODUCTION_DECODER = msgspec.msgpack.Decoder(Introduction)
+SUSPECTS_DECODER = msgspec.msgpack.Decoder(SuspectParts)
 # A heartbeat is an array, which starts with none of these bytes, so
 # they tell other messages from it.
 LIST_CHANGE_PREFIX = b"\xc1"
 INTRODUCTION_PREFIX = b"\xc0"
 # The rest is a message to forward to the receiver's availability zone.
 FORWARD_PREFIX = b"\xc2"
+SUSPECTS_PREFIX = b"\xc3"
 # Peers that lag fetch larger changes over gRPC.
 MAX_LIST_CHANGE_BYTES = 1_300
 # Spreads the fetches of daemons that fall behind at the same time.
@@ -93,6 +97,7 @@
             self._send_heartbeats(),
             self._send_load_changes(),
             self._send_engine_states(),
+            self._send_suspects(),
         )
 
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
@@ -107,6 +112,10 @@
             if data.startswith(INTRODUCTION_PREFIX):
                 self._introduce(INTRODUCTION_DECODER.decode(data[1:]))
                 return
+            if data.startswith(SUSPECTS_PREFIX):
+                message = SUSPECTS_DECODER.decode(data[1:])
+                suspects.apply_message(self.node, message)
+                return
             heartbeat = DECODER.decode(data)
         except msgspec.MsgspecError as error:
             self.node.log.warning("message unreadable", reason=str(error))
@@ -169,6 +178,7 @@
         self._ask_zone(member)
         message = make_whole_heartbeat(self.node)
         self._send(member, message)
+        self._repeat_suspects(member)
         for other in self.node.members.take_ungreeted():
             self._send(other, message)
 
@@ -208,6 +218,8 @@
                     self._ask_zone(member)
             elif is_silent_due:
                 self._send(member, message)
+        if live:
+            self._repeat_suspects(self.node.random.choice(live))
         if members.is_distributor(now_s):
             self.next_round_s = now_s + distributor_interval_s(peers)
             for member in live:
@@ -252,6 +264,26 @@
             self.node.engine_state_changed.clear()
             self._send_to_live(make_heartbeat(self.node, (), is_whole=False))
 
+    async def _send_suspects(self) -> None:
+        """Tell all live daemons at once what changed about suspects."""
+        node = self.node
+        while True:
+            await node.suspects_changed.wait()
+            node.suspects_changed.clear()
+            await asyncio.sleep(LOAD_CHANGE_DELAY_S)
+            now_s = node.now_s()
+            records = node.quarantine.pop_unsent(now_s)
+            for message in suspects.make_messages(node, records):
+                data = SUSPECTS_PREFIX + ENCODER.encode(message)
+                self._spread(data, node.members.live(now_s))
+
+    def _repeat_suspects(self, member: Member) -> None:
+        """Send one daemon the suspects that any daemon must know."""
+        records = suspects.records_to_repeat(self.node)
+        for message in suspects.make_messages(self.node, records):
+            data = SUSPECTS_PREFIX + ENCODER.encode(message)
+            self._send_data(member, data)
+
     def _send_to_live(self, message: Heartbeat) -> None:
         live = self.node.members.live(self.node.now_s())
         self._spread_heartbeat(message, live)
--- a/src/plantainsail/entry/metrics.py
+++ b/src/plantainsail/entry/metrics.py
@@ -31,6 +31,16 @@
             ["reason"],
             registry=self.registry,
         )
+        self.engine_deaths = Counter(
+            "plantainsail_entry_engine_deaths",
+            "Streams that ended since their engine died.",
+            registry=self.registry,
+        )
+        self.quarantined_parts = Gauge(
+            "plantainsail_entry_quarantined_parts",
+            "Parts of requests that are refused, as they crash engines.",
+            registry=self.registry,
+        )
         self.moves = Counter(
             "plantainsail_entry_moves",
             "Running generations moved off an engine, by result.",
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -9,7 +9,7 @@
 from plantainsail.entry.settings import EntrySettings
 from plantainsail.identity import NONCE_BITS
 from plantainsail.logs import get_logger
-from plantainsail.policy.quarantine import Quarantine
+from plantainsail.policy.part_quarantine import PartQuarantine
 from plantainsail.routing.avoidance import Avoidance
 from plantainsail.routing.budget import RepeatBudget
 from plantainsail.routing.fleet_loads import FleetLoads
@@ -45,7 +45,7 @@
         self.fleet_loads = FleetLoads()
         self.paces = EnginePaces()
         self.avoidance = Avoidance()
-        self.quarantine = Quarantine()
+        self.quarantine = PartQuarantine()
         self.read_rates = ReadRates()
         self.members = Members(settings.peer_address, settings.seed_addresses)
         self.budgets: dict[str, RepeatBudget] = {}
@@ -63,6 +63,9 @@
         # Set when peers should at once receive which engines leave or
         # are avoided.
         self.engine_state_changed = asyncio.Event()
+        # Set when peers should at once receive which parts of requests
+        # are suspects.
+        self.suspects_changed = asyncio.Event()
 
     def now_s(self) -> float:
         """Return the time of a clock that also runs during suspend."""
--- a/src/plantainsail/entry/waiting.py
+++ b/src/plantainsail/entry/waiting.py
@@ -26,13 +26,15 @@
     """One generation that waits for an engine.
 
     `choice` is set to the engine, or to None once the generation can
-    get no engine before its caller gives up.
+    get no engine before its caller gives up.  `parts` describe its
+    request in the quarantine.
     """
 
     claim: Claim
     service: Service
     need: GenerationNeed
     choice: "asyncio.Future[EngineChoice | None]"
+    parts: tuple[str, ...] = ()
 
     @property
     def prompt_read_s(self) -> float:
@@ -92,9 +94,7 @@
             )
         )
         for waiter in list(self.waiters):
-            if gives_up_before_first_event(
-                waiter.claim, waiter.prompt_read_s, now_s
-            ):
+            if self._is_hopeless(waiter, now_s):
                 self._finish_wait(waiter, None)
                 continue
             service = waiter.service
@@ -105,6 +105,18 @@
                 self._finish_wait(waiter, choice)
                 return
 
+    def _is_hopeless(self, waiter: Waiter, now_s: float) -> bool:
+        """Return whether a generation will get no engine in time.
+
+        One that crashes engines gets none either.
+        """
+        quarantine = self.node.quarantine
+        if quarantine.find_cause(waiter.parts, now_s) is not None:
+            return True
+        return gives_up_before_first_event(
+            waiter.claim, waiter.prompt_read_s, now_s
+        )
+
     def _finish_wait(
         self, waiter: Waiter, choice: EngineChoice | None
     ) -> None:
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -53,6 +53,17 @@
         """Return the first value of a header."""
         return first_value(self.headers, name)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the body has neither a length nor chunks.
+
+        Such a body ends where its connection does, also where the
+        upstream's process ends.
+        """
+        if self.get(b"content-length") is not None:
+            return False
+        return self.get(b"transfer-encoding") is None
+
 
 class ConnectError(ConnectionError):
     """The upstream can't be reached, so nothing was sent."""
