Quarantine requests that crash plain services

The check for dead upstreams moves to a module that both forwarders use. A test that waited for the end of the check now waits for the tasks of that module.

--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -19,6 +19,7 @@
 from plantainsail.api.listener import listener_config
 from plantainsail.clock import Clock
 from plantainsail.entry.caller_protocol import CallerProtocol
+from plantainsail.entry.death_checks import DeathChecks
 from plantainsail.entry.dialect import Dialect
 from plantainsail.entry.feed import PublishedFeed
 from plantainsail.entry.gossip import Gossip
@@ -144,10 +145,10 @@
         self.gossip = Gossip(self.node, self.snapshots)
         self.feed.send_list_change = self.gossip.send_list_change
         self.feed.announce = self.gossip.announce
-        self.stream = StreamForwarder(self.node, mover)
-        handler = RequestHandler(
-            self.node, PlainForwarder(self.node), self.stream
-        )
+        self.death_checks = DeathChecks(self.node)
+        self.stream = StreamForwarder(self.node, mover, self.death_checks)
+        plain = PlainForwarder(self.node, self.death_checks)
+        handler = RequestHandler(self.node, plain, self.stream)
         app = Starlette(routes=[Mount("/", app=handler)])
         app.state.node = self.node
         self.callers = Listener(app, settings.caller_address, CallerProtocol)
--- /dev/null
+++ b/src/plantainsail/entry/death_checks.py
@@ -0,0 +1,64 @@
+"""Checks in the background whether upstreams died under requests."""
+
+import asyncio
+from typing import NamedTuple
+
+from plantainsail.entry import suspects
+from plantainsail.entry.deaths import is_unreachable
+from plantainsail.entry.node import EntryNode
+from plantainsail.policy.part_quarantine import EngineDeath
+from plantainsail.routing.model import RoutedUpstream
+
+
+class BrokenRun(NamedTuple):
+    """A request whose answer an upstream broke off.
+
+    `parts` describe it in the quarantine.  It was sent at `started_s`
+    and broke off at `ended_s`.  `was_sound` says whether the upstream
+    had answered for so long that the request can't be the cause.
+    """
+
+    request: str
+    upstream: RoutedUpstream
+    parts: tuple[str, ...]
+    started_s: float
+    ended_s: float
+    was_sound: bool = False
+
+
+class DeathChecks:
+    """Records the upstreams that are dead after they broke off."""
+
+    def __init__(self, node: EntryNode) -> None:
+        self.node = node
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, run: BrokenRun) -> None:
+        """Check in the background whether an upstream died.
+
+        One that announced its departure is not checked.
+        """
+        if run.upstream.identifier in self.node.registry.departures:
+            return
+        task = asyncio.create_task(self._record_if_dead(run))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _record_if_dead(self, run: BrokenRun) -> None:
+        upstream = run.upstream
+        if not await is_unreachable(upstream):
+            return
+        node = self.node
+        node.registry.note_failure(upstream.identifier, node.now_s())
+        node.log.warning(
+            "engine died",
+            request=run.request,
+            upstream=upstream.identifier,
+            parts=run.parts,
+            was_sound=run.was_sound,
+        )
+        if run.was_sound:
+            return
+        incarnation = f"{upstream.identifier}/{upstream.born_ms}"
+        death = EngineDeath(incarnation, run.started_s, run.ended_s)
+        suspects.record_death(node, run.parts, death)
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -9,6 +9,8 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from plantainsail.entry import suspects
+from plantainsail.entry.death_checks import BrokenRun, DeathChecks
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import (
     RoutedRequest,
@@ -37,6 +39,7 @@
 MIN_RETRY_AFTER_S = 0.1
 MAX_NOT_RUN_ATTEMPTS = 3
 FIRST_SERVER_ERROR_STATUS = 500
+CUT_SHORT = "cut short"
 
 
 class SendOutcome(Enum):
@@ -60,8 +63,9 @@
 class PlainForwarder:
     """Forwards requests whose answers are buffered whole."""
 
-    def __init__(self, node: EntryNode) -> None:
+    def __init__(self, node: EntryNode, death_checks: DeathChecks) -> None:
         self.node = node
+        self.death_checks = death_checks
 
     async def forward(self, request: RoutedRequest) -> None:
         """Answer a request from an upstream or with a failure."""
@@ -84,19 +88,25 @@
         node = self.node
         budget = node.repeat_budget(request.service.name)
         budget.note_request(node.now_s())
+        parts = suspects.parts_of(request, node.dialect)
         tried: frozenset[str] = frozenset()
         attempts = 0
         not_run_attempts = 0
         last: SendResult | None = None
         while True:
+            quarantined = suspects.refusal(node, request, parts)
+            if quarantined is not None:
+                return self._final_result(request, last, attempts, quarantined)
             upstream = self._choose_upstream(request, tried)
             if upstream is None:
                 return self._final_result(request, last, attempts)
             if last is not None and not self._may_retry(request, last):
                 return self._final_result(request, last, attempts)
             tried = tried | {upstream.identifier}
+            started_s = node.now_s()
             last = await self._send_once(request, upstream, attempts)
             self._log_send(request, upstream, last)
+            self._judge(request, upstream, parts, started_s, last)
             if (
                 last.outcome is SendOutcome.ANSWERED
                 and last.status < FIRST_SERVER_ERROR_STATUS
@@ -130,9 +140,37 @@
         node.metrics.repeats.labels(last.reason).inc()
         return True
 
+    def _judge(
+        self,
+        request: RoutedRequest,
+        upstream: RoutedUpstream,
+        parts: tuple[str, ...],
+        started_s: float,
+        result: SendResult,
+    ) -> None:
+        """Record whether the request may have crashed the upstream."""
+        if result.outcome is SendOutcome.ANSWERED:
+            if self.node.quarantine.has_records(parts):
+                suspects.record_sound_run(self.node, parts, started_s)
+            return
+        if result.reason != CUT_SHORT:
+            return
+        ended_s = self.node.now_s()
+        self.death_checks.start(
+            BrokenRun(request.identifier, upstream, parts, started_s, ended_s)
+        )
+
     def _final_result(
-        self, request: RoutedRequest, last: SendResult | None, attempts: int
+        self,
+        request: RoutedRequest,
+        last: SendResult | None,
+        attempts: int,
+        refusal: Failure | None = None,
     ) -> SendResult | Failure:
+        """Return the best answer there is, or why there is none.
+
+        `refusal` holds if no attempt may have run.
+        """
         if last is not None and last.outcome is SendOutcome.ANSWERED:
             # No retry improved on the upstream's own error status.
             return last
@@ -142,6 +180,8 @@
                     Code.UPSTREAM_TIMEOUT, "the upstream did not answer"
                 )
             return Failure(Code.UPSTREAM_TRUNCATED, "the answer was lost")
+        if refusal is not None:
+            return refusal
         detail = "no upstream took the request"
         return Failure(
             Code.NO_UPSTREAM,
@@ -222,7 +262,7 @@
             head = await connection.read_head()
             body = await connection.read_body(MAX_ANSWER_BYTES)
         except CutShortError:
-            return SendResult(SendOutcome.FAILED, reason="cut short")
+            return SendResult(SendOutcome.FAILED, reason=CUT_SHORT)
         finally:
             connection.abort()
         return classify_answer(head, body, request, node)
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from plantainsail.entry import deaths, suspects
+from plantainsail.entry import suspects
+from plantainsail.entry.death_checks import BrokenRun, DeathChecks
 from plantainsail.entry.dialect import parse_decimal, parse_token_counts
 from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.generation import (
@@ -15,7 +16,6 @@
 from plantainsail.entry.plain import MAX_ANSWER_BYTES, record_failure
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.entry.waiting import Waiter, WaitingQueue
-from plantainsail.policy.part_quarantine import EngineDeath
 from plantainsail.results import Code, Failure
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.placement import (
@@ -41,9 +41,15 @@
 class StreamForwarder:
     """Forwards requests of streaming routes."""
 
-    def __init__(self, node: EntryNode, mover: EngineMover | None) -> None:
+    def __init__(
+        self,
+        node: EntryNode,
+        mover: EngineMover | None,
+        death_checks: DeathChecks,
+    ) -> None:
         self.node = node
         self.mover = mover
+        self.death_checks = death_checks
         self.queue = WaitingQueue(node)
         self.generations: set[Generation] = set()
         self.engine_watch: EngineWatch | None = None
@@ -165,19 +171,17 @@
             silence_timer.cancel()
 
     def _check_engine_death(self, generation: Generation) -> None:
-        """Check in the background whether the engine died.
-
-        An engine that announced its departure is not checked.
-        """
-        upstream = generation.upstream
-        assert upstream is not None
-        if upstream.identifier in self.node.registry.departures:
-            return
-        task = asyncio.create_task(
-            self._record_if_dead(generation, upstream, self.node.now_s())
+        assert generation.upstream is not None
+        self.death_checks.start(
+            BrokenRun(
+                generation.request.identifier,
+                generation.upstream,
+                generation.parts,
+                generation.placed_s,
+                self.node.now_s(),
+                generation.is_proven_sound,
+            )
         )
-        self.background_tasks.add(task)
-        task.add_done_callback(self.background_tasks.discard)
 
     def _avoid_engine(self, generation: Generation) -> None:
         """Avoid an engine that cut a stream before its first event."""
@@ -186,32 +190,6 @@
         if upstream.identifier not in self.node.registry.departures:
             self.node.note_cut(upstream.identifier)
 
-    async def _record_if_dead(
-        self,
-        generation: Generation,
-        upstream: RoutedUpstream,
-        ended_s: float,
-    ) -> None:
-        if not await deaths.is_unreachable(upstream):
-            return
-        node = self.node
-        node.registry.note_failure(upstream.identifier, node.now_s())
-        node.log.warning(
-            "engine died",
-            request=generation.request.identifier,
-            upstream=upstream.identifier,
-            parts=generation.parts,
-            was_sound=generation.is_proven_sound,
-        )
-        if generation.is_proven_sound:
-            return
-        incarnation = f"{upstream.identifier}/{upstream.born_ms}"
-        suspects.record_death(
-            node,
-            generation.parts,
-            EngineDeath(incarnation, generation.placed_s, ended_s),
-        )
-
     def _record_silent_engine(self, upstream: str) -> None:
         self.node.registry.note_failure(upstream, self.node.now_s())
         self.node.log.warning("engine silent", upstream=upstream)
--- a/src/plantainsail/policy/part_quarantine.py
+++ b/src/plantainsail/policy/part_quarantine.py
@@ -153,6 +153,10 @@
             cleared.append(part)
         return cleared
 
+    def has_records(self, parts: Collection[str]) -> bool:
+        """Return whether anything is known of one of the parts."""
+        return not self.records.keys().isdisjoint(parts)
+
     def merge(self, received: PartRecord, now_s: float) -> bool:
         """Merge a peer's record; return if it quarantines the part."""
         return self._add(received, now_s, is_local=False)
--- a/tests/standins/crashing.py
+++ b/tests/standins/crashing.py
@@ -14,6 +14,7 @@
     StandInCaller,
     StandInSource,
     StandInUpstream,
+    answer,
     chunk,
     configuration,
     event,
@@ -93,6 +94,13 @@
         }
         return await caller.call("/stream/x", headers, body)
 
+    async def read(self, body: bytes, daemon: int) -> CallerAnswer:
+        """Send an idempotent request of a plain service."""
+        self.requests += 1
+        caller = StandInCaller(self.daemons[daemon])
+        headers = {REQUEST_ID: f"r{self.requests}"}
+        return await caller.call("/safe/x", headers, body)
+
     async def settle(self) -> None:
         """Wait until all daemons have judged the ended streams.
 
@@ -103,14 +111,25 @@
             for name in self.gone:
                 entry = source.upstreams[name]
                 source.put(entry._replace(is_draining=True))
+        await until(self._has_learned)
         self.gone.clear()
 
     def _is_connected(self) -> bool:
         return all(daemon.gossip.live for daemon in self.daemons)
 
+    def _has_learned(self) -> bool:
+        for daemon in self.daemons:
+            registry = daemon.node.registry
+            if any(registry.is_usable(name) for name in self.gone):
+                return False
+            if not registry.entries.keys() >= self.engines.keys():
+                return False
+        return True
+
     def _has_judged(self) -> bool:
         return not any(
-            daemon.stream.background_tasks for daemon in self.daemons
+            daemon.stream.background_tasks or daemon.death_checks.tasks
+            for daemon in self.daemons
         )
 
     async def _start_daemon(
@@ -132,14 +151,20 @@
     async def _serve(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        writer.write(UNFRAMED_HEAD if self.is_unframed else STREAM_HEAD)
-        await writer.drain()
+        is_stream = request.target.startswith("/stream/")
+        if is_stream:
+            writer.write(UNFRAMED_HEAD if self.is_unframed else STREAM_HEAD)
+            await writer.drain()
         parts = request.headers.get(PARTS, "").split(",")
         names = {part.partition(":")[0] for part in parts}
         if CRASHING_PART in names or request.body == self.crashing_body:
             name = request.headers["plantainsail-expected-upstream"]
             await self._crash(name, writer)
             return
+        if not is_stream:
+            writer.write(answer())
+            await writer.drain()
+            return
         for number in range(EVENTS):
             writer.write(chunk(event(number)))
             await writer.drain()
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -608,7 +608,7 @@
     env = await make_environment()
     env.engines.break_at = 3
     await env.stream()
-    await until(lambda: not env.daemon.stream.background_tasks)
+    await until(lambda: not env.daemon.death_checks.tasks)
     assert env.daemon.node.quarantine.records == {}
 
 
