--- a/src/plantainsail/entry/dialect.py
+++ b/src/plantainsail/entry/dialect.py
@@ -14,8 +14,10 @@
     """The header names of one installation.
 
     Upstreams put `signature` on their answers, so that an answer
-    without it can be recognised as foreign.  `other_internal` are
-    further headers that callers may not set.
+    without it can be recognised as foreign.  `rate_limit` in an answer
+    is how many requests a second its upstream takes from all daemons
+    together.  `other_internal` are further headers that callers may not
+    set.
     """
 
     request_id: bytes = b"plantainsail-request-id"
@@ -24,6 +26,7 @@
     expected_upstream: bytes = b"plantainsail-expected-upstream"
     not_executed: bytes = b"plantainsail-not-executed"
     signature: bytes = b"plantainsail-signature"
+    rate_limit: bytes = b"plantainsail-rate-limit"
     tokens: bytes = b"plantainsail-tokens"
     prompt_parts: bytes = b"plantainsail-prompt-parts"
     length_hint: bytes = b"plantainsail-length-hint"
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -11,6 +11,7 @@
 
 from plantainsail.entry import suspects
 from plantainsail.entry.death_checks import BrokenRun, DeathChecks
+from plantainsail.entry.dialect import parse_decimal
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import (
     RoutedRequest,
@@ -51,13 +52,18 @@
 
 
 class SendResult(NamedTuple):
-    """The outcome of one attempt, with the upstream's answer if any."""
+    """The outcome of one attempt, with the upstream's answer if any.
+
+    `named_limit` is the rate limit that the upstream named in it, in
+    requests a second.
+    """
 
     outcome: SendOutcome
     status: int = 0
     headers: Headers = []
     body: bytes = b""
     reason: str = ""
+    named_limit: float | None = None
 
 
 class PlainForwarder:
@@ -291,6 +297,7 @@
             request=request.identifier,
             upstream=upstream.identifier,
             status=result.status,
+            named_limit=result.named_limit,
             running=load.running,
             suspect=suspect,
             after_ms=int((node.now_s() - request.arrived_s) * 1000),
@@ -319,6 +326,7 @@
         head.headers,
         body,
         "error status" if head.status >= FIRST_SERVER_ERROR_STATUS else "",
+        parse_decimal(head.get(node.dialect.rate_limit)),
     )
 
 
--- a/src/plantainsail/platform/names.py
+++ b/src/plantainsail/platform/names.py
@@ -9,6 +9,7 @@
     expected_upstream=b"x-expected-replica",
     not_executed=b"x-not-executed",
     signature=b"x-response-signature",
+    rate_limit=b"server-limit",
     tokens=b"x-token-usage",
     prompt_parts=b"x-prompt-prefix",
     length_hint=b"x-length-hint",
