Keep the rate limits that upstreams name, all daemons together

What was seen: two upstreams in need named limits of 2.7 and 2.1 requests a second for all daemons together, and got 34 and 19 in 4 s.

Cause: nobody read the limit; placement weighs load and failures only.

Change: daemons read the limit from any answer and share one token bucket for each limited upstream, of which each keeps a copy; what is sent is told at once, in totals, and the lower of two copies counts. An upstream without a token gets nothing; if all are limited, requests are refused at once as not run. The messages on suspects and limits move to a module of their own, entry/announcements.py.

Ruled out: repeats (one of 55 requests of the window was sent twice), restarts and cuts (none until later).

--- /dev/null
+++ b/src/plantainsail/entry/announcements.py
@@ -0,0 +1,75 @@
+"""Encodes what all daemons must know to act alike, and applies it.
+
+These are the suspect parts of requests, and the rate limits of
+upstreams.  News goes to all live daemons at once.  What any daemon must
+know is repeated for as long as it holds, since messages are lost and
+daemons start without memory.  The messages are apart from heartbeats,
+since builds that don't know them must still read heartbeats.
+"""
+
+import msgspec
+
+from plantainsail.entry import limits, suspects
+from plantainsail.entry.node import EntryNode
+from plantainsail.routing.messages import RateLimitReport, SuspectParts
+
+ENCODER = msgspec.msgpack.Encoder()
+SUSPECTS_DECODER = msgspec.msgpack.Decoder(SuspectParts)
+LIMITS_DECODER = msgspec.msgpack.Decoder(RateLimitReport)
+# A heartbeat is an array, which starts with none of these bytes, so
+# they tell other messages from it.
+SUSPECTS_PREFIX = b"\xc3"
+LIMITS_PREFIX = b"\xc4"
+
+
+class Announcements:
+    """Makes and applies messages on suspects and rate limits."""
+
+    def __init__(self, node: EntryNode) -> None:
+        self.node = node
+
+    def apply(self, data: bytes) -> bool:
+        """Apply a message; return False if it is of another kind.
+
+        Raises `msgspec.MsgspecError` if it is malformed.
+        """
+        if data.startswith(SUSPECTS_PREFIX):
+            parts = SUSPECTS_DECODER.decode(data[1:])
+            suspects.apply_message(self.node, parts)
+            return True
+        if data.startswith(LIMITS_PREFIX):
+            report = LIMITS_DECODER.decode(data[1:])
+            limits.apply_report(self.node, report)
+            return True
+        return False
+
+    def take_news(self) -> list[bytes]:
+        """Return messages on what changed here since the last call."""
+        node = self.node
+        records = node.quarantine.pop_unsent(node.now_s())
+        limited = node.rate_limits.pop_unsent()
+        return _encode(
+            suspects.make_messages(node, records),
+            limits.make_reports(node, limited, is_news=True),
+        )
+
+    def repeat(self) -> list[bytes]:
+        """Return messages on what any daemon must know now."""
+        node = self.node
+        records = suspects.records_to_repeat(node)
+        limited = node.rate_limits.in_force(node.now_s())
+        return _encode(
+            suspects.make_messages(node, records),
+            limits.make_reports(node, limited, is_news=False),
+        )
+
+
+def _encode(
+    parts: list[SuspectParts], reports: list[RateLimitReport]
+) -> list[bytes]:
+    messages: list[bytes] = []
+    for message in parts:
+        messages.append(SUSPECTS_PREFIX + ENCODER.encode(message))
+    for report in reports:
+        messages.append(LIMITS_PREFIX + ENCODER.encode(report))
+    return messages
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import NamedTuple
 
-from plantainsail.entry import deaths, suspects
+from plantainsail.entry import deaths, limits, suspects
 from plantainsail.entry.caller import remove_hop_by_hop
 from plantainsail.entry.dialect import parse_token_counts
 from plantainsail.entry.evacuation import (
@@ -248,10 +248,13 @@
                 extra,
             )
         )
+        limits.note_sent(self.node, upstream.identifier)
         try:
-            return await connection.read_head()
+            head = await connection.read_head()
         except CutShortError as error:
             raise GenerationLostError(str(error)) from error
+        limits.note_answer(self.node, upstream.identifier, head)
+        return head
 
     async def _relay_connection(self) -> None:
         """Pass on complete events until the stream ends.
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -10,7 +10,7 @@
 import grpc
 import msgspec
 
-from plantainsail.entry import suspects
+from plantainsail.entry.announcements import Announcements
 from plantainsail.entry.heartbeats import (
     apply_heartbeat,
     make_heartbeat,
@@ -31,7 +31,6 @@
     Introduction,
     ListChange,
     LoadEntry,
-    SuspectParts,
 )
 from plantainsail.routing.spread import Receivers, choose_receivers
 from plantainsail.settings import split_address
@@ -55,14 +54,12 @@
 DECODER = msgspec.msgpack.Decoder(Heartbeat)
 LIST_CHANGE_DECODER = msgspec.msgpack.Decoder(ListChange)
 INTRODUCTION_DECODER = msgspec.msgpack.Decoder(Introduction)
-SUSPECTS_DECODER = msgspec.msgpack.Decoder(SuspectParts)
 # A heartbeat is an array, which starts with none of these bytes, so
 # they tell other messages from it.
 LIST_CHANGE_PREFIX = b"\xc1"
 INTRODUCTION_PREFIX = b"\xc0"
 # The rest is a message to forward to the receiver's availability zone.
 FORWARD_PREFIX = b"\xc2"
-SUSPECTS_PREFIX = b"\xc3"
 # Peers that lag fetch larger changes over gRPC.
 MAX_LIST_CHANGE_BYTES = 1_300
 # Spreads the fetches of daemons that fall behind at the same time.
@@ -75,6 +72,7 @@
     def __init__(self, node: EntryNode, snapshots: SnapshotExchange) -> None:
         self.node = node
         self.snapshots = snapshots
+        self.announcements = Announcements(node)
         self.sequence = 0
         self.rounds = 0
         self.spread_turn = 0
@@ -97,7 +95,7 @@
             self._send_heartbeats(),
             self._send_load_changes(),
             self._send_engine_states(),
-            self._send_suspects(),
+            self._send_announcements(),
         )
 
     def datagram_received(self, data: bytes, _: tuple[str, int]) -> None:
@@ -112,9 +110,7 @@
             if data.startswith(INTRODUCTION_PREFIX):
                 self._introduce(INTRODUCTION_DECODER.decode(data[1:]))
                 return
-            if data.startswith(SUSPECTS_PREFIX):
-                message = SUSPECTS_DECODER.decode(data[1:])
-                suspects.apply_message(self.node, message)
+            if self.announcements.apply(data):
                 return
             heartbeat = DECODER.decode(data)
         except msgspec.MsgspecError as error:
@@ -178,7 +174,7 @@
         self._ask_zone(member)
         message = make_whole_heartbeat(self.node)
         self._send(member, message)
-        self._repeat_suspects(member)
+        self._repeat_announcements(member)
         for other in self.node.members.take_ungreeted():
             self._send(other, message)
 
@@ -219,7 +215,7 @@
             elif is_silent_due:
                 self._send(member, message)
         if live:
-            self._repeat_suspects(self.node.random.choice(live))
+            self._repeat_announcements(self.node.random.choice(live))
         if members.is_distributor(now_s):
             self.next_round_s = now_s + distributor_interval_s(peers)
             for member in live:
@@ -264,24 +260,17 @@
             self.node.engine_state_changed.clear()
             self._send_to_live(make_heartbeat(self.node, (), is_whole=False))
 
-    async def _send_suspects(self) -> None:
-        """Tell all live daemons at once what changed about suspects."""
-        node = self.node
+    async def _send_announcements(self) -> None:
         while True:
-            await node.suspects_changed.wait()
-            node.suspects_changed.clear()
+            await self.node.announcements_pending.wait()
+            self.node.announcements_pending.clear()
             await asyncio.sleep(LOAD_CHANGE_DELAY_S)
-            now_s = node.now_s()
-            records = node.quarantine.pop_unsent(now_s)
-            for message in suspects.make_messages(node, records):
-                data = SUSPECTS_PREFIX + ENCODER.encode(message)
-                self._spread(data, node.members.live(now_s))
-
-    def _repeat_suspects(self, member: Member) -> None:
-        """Send one daemon the suspects that any daemon must know."""
-        records = suspects.records_to_repeat(self.node)
-        for message in suspects.make_messages(self.node, records):
-            data = SUSPECTS_PREFIX + ENCODER.encode(message)
+            live = self.node.members.live(self.node.now_s())
+            for data in self.announcements.take_news():
+                self._spread(data, live)
+
+    def _repeat_announcements(self, member: Member) -> None:
+        for data in self.announcements.repeat():
             self._send_data(member, data)
 
     def _send_to_live(self, message: Heartbeat) -> None:
--- a/src/plantainsail/entry/metrics.py
+++ b/src/plantainsail/entry/metrics.py
@@ -41,6 +41,11 @@
             "Parts of requests that are refused, as they crash engines.",
             registry=self.registry,
         )
+        self.limited_upstreams = Gauge(
+            "plantainsail_entry_limited_upstreams",
+            "Upstreams that name a rate limit in their answers.",
+            registry=self.registry,
+        )
         self.moves = Counter(
             "plantainsail_entry_moves",
             "Running generations moved off an engine, by result.",
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -17,6 +17,7 @@
 from plantainsail.routing.members import Members
 from plantainsail.routing.model import CallerLimits
 from plantainsail.routing.pace import EnginePaces
+from plantainsail.routing.rate_limits import RateLimits
 from plantainsail.routing.reading import ReadRates
 from plantainsail.routing.registry import (
     Departure,
@@ -47,6 +48,7 @@
         self.avoidance = Avoidance()
         self.quarantine = PartQuarantine()
         self.read_rates = ReadRates()
+        self.rate_limits = RateLimits()
         self.members = Members(settings.peer_address, settings.seed_addresses)
         self.budgets: dict[str, RepeatBudget] = {}
         self.metrics = EntryMetrics()
@@ -64,8 +66,9 @@
         # are avoided.
         self.engine_state_changed = asyncio.Event()
         # Set when peers should at once receive which parts of requests
-        # are suspects.
-        self.suspects_changed = asyncio.Event()
+        # are suspects, or the limits of upstreams and the requests sent
+        # to these.
+        self.announcements_pending = asyncio.Event()
 
     def now_s(self) -> float:
         """Return the time of a clock that also runs during suspend."""
@@ -144,7 +147,9 @@
     def forget_gone_engines(self) -> None:
         """Drop what was measured about engines that are gone."""
         identifiers = (
-            self.registry.entries.keys() | self.fleet_loads.own.keys()
+            self.registry.entries.keys()
+            | self.registry.vanished.keys()
+            | self.fleet_loads.own.keys()
         )
         self.registry.forget_departed(self.now_s())
         for identifier in self.notice_periods_s.keys() - identifiers:
@@ -152,6 +157,7 @@
         self.paces.forget_except(set(identifiers))
         self.read_rates.forget_except(set(identifiers))
         self.avoidance.forget_except(set(identifiers))
+        self.rate_limits.forget_except(set(identifiers))
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits on callers' requests now in force."""
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -9,7 +9,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from plantainsail.entry import suspects
+from plantainsail.entry import limits, suspects
 from plantainsail.entry.death_checks import BrokenRun, DeathChecks
 from plantainsail.entry.dialect import parse_decimal
 from plantainsail.entry.node import EntryNode
@@ -188,11 +188,22 @@
             return Failure(Code.UPSTREAM_TRUNCATED, "the answer was lost")
         if refusal is not None:
             return refusal
+        return self._no_upstream_failure(request)
+
+    def _no_upstream_failure(self, request: RoutedRequest) -> Failure:
+        """Return the failure of a request that no upstream ran.
+
+        The callers refused for the same reason come back spread out.
+        """
         detail = "no upstream took the request"
+        wait_s = limits.shortest_wait_s(self.node, request.service.name)
+        if wait_s > 0:
+            detail = "all upstreams are at their rate limits"
+        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
         return Failure(
             Code.NO_UPSTREAM,
             detail,
-            MIN_RETRY_AFTER_S * (1.0 + self.node.random.random()),
+            retry_after_s * (1.0 + self.node.random.random()),
             outcome=Outcome.NOT_RUN,
         )
 
@@ -208,10 +219,12 @@
                 node.fleet_loads.load_of(upstream.identifier, now_s).running,
                 node.registry.is_suspect(upstream.identifier, now_s),
                 upstream.availability_zone == zone,
+                node.rate_limits.is_limited(upstream.identifier, now_s),
             )
             for upstream in node.registry.usable_upstreams(
                 request.service.name
             )
+            if node.rate_limits.may_send(upstream.identifier, now_s)
         ]
         node.random.shuffle(views)
         return choose_plain(views, tried)
@@ -265,7 +278,9 @@
                     [],
                 )
             )
+            limits.note_sent(node, upstream.identifier)
             head = await connection.read_head()
+            limits.note_answer(node, upstream.identifier, head)
             body = await connection.read_body(MAX_ANSWER_BYTES)
         except CutShortError:
             return SendResult(SendOutcome.FAILED, reason=CUT_SHORT)
--- a/src/plantainsail/entry/suspects.py
+++ b/src/plantainsail/entry/suspects.py
@@ -48,7 +48,7 @@
     quarantined = node.quarantine.note_death(parts, death, node.now_s())
     for part in quarantined:
         _log_quarantined(node, part, "own")
-    node.suspects_changed.set()
+    node.announcements_pending.set()
 
 
 def record_sound_run(
@@ -60,7 +60,7 @@
         return
     node.log.info("suspects cleared", parts=cleared)
     _update_gauge(node)
-    node.suspects_changed.set()
+    node.announcements_pending.set()
 
 
 def refusal(
--- a/src/plantainsail/routing/messages.py
+++ b/src/plantainsail/routing/messages.py
@@ -122,6 +122,35 @@
     parts: tuple[SuspectPartEntry, ...]
 
 
+class LimitEntry(NamedTuple):
+    """The rate limit of an upstream, and what the sender sent to it.
+
+    `per_s` is None if the upstream names no limit any more, and
+    `age_ms` the time since it last named one or none.  `sent` counts
+    the requests of this run of the sender, and `tokens` is what its
+    copy of the upstream's token bucket holds.
+    """
+
+    identifier: str
+    per_s: float | None
+    age_ms: int
+    sent: int
+    tokens: float
+
+
+class RateLimitReport(NamedTuple):
+    """What a daemon knows of limited upstreams, and sent to them.
+
+    `nonce` names the sender's run.  `is_news` says that it changed or
+    sent something just now.
+    """
+
+    address: str
+    nonce: int
+    is_news: bool
+    limits: tuple[LimitEntry, ...]
+
+
 class ListChange(NamedTuple):
     """Changed upstream entries, sent by a watching daemon to others.
 
--- a/src/plantainsail/routing/placement.py
+++ b/src/plantainsail/routing/placement.py
@@ -55,6 +55,8 @@
 OTHER_ZONE_COST_S = 0.02
 OTHER_ZONE_MOVE_COST_S = 0.3
 OTHER_ZONE_PLAIN_COST = 0.02
+# The cost of an upstream that names a rate limit, as it is in need.
+LIMITED_PLAIN_COST = 0.5
 
 
 class GenerationNeed(NamedTuple):
@@ -259,6 +261,7 @@
     running: int
     is_suspect: bool = False
     is_same_zone: bool = True
+    is_limited: bool = False
 
 
 def choose_plain(
@@ -278,6 +281,8 @@
             cost += 100.0
         if not view.is_same_zone:
             cost += OTHER_ZONE_PLAIN_COST
+        if view.is_limited:
+            cost += LIMITED_PLAIN_COST
         if best is None or cost < best_cost:
             best, best_cost = view.upstream, cost
     return best
--- a/tests/test_upstream_rate_limits.py
+++ b/tests/test_upstream_rate_limits.py
@@ -14,11 +14,17 @@
 from plantainsail.routing.model import RoutedUpstream
 from soak.fleet import free_address
 from tests.standins.routed import (
+    SIGNATURE,
+    STREAM_END,
+    STREAM_HEAD,
+    CallerAnswer,
     StandInCaller,
     StandInSource,
     StandInUpstream,
     answer,
+    chunk,
     configuration,
+    event,
     respond_with,
     start_entry,
 )
@@ -62,6 +68,19 @@
         for daemon in self.daemons:
             daemon.node.clock = self.clock
 
+    async def advance(self, seconds: float) -> None:
+        """Move the clock; wait until all daemons hear each other."""
+        self.clock.advance(seconds)
+        await until(self._is_live)
+
+    def daemons_that_know(self, upstream: StandInUpstream) -> int:
+        """Return how many daemons hold an upstream to a limit."""
+        now_s = self.clock.now_s()
+        return sum(
+            daemon.node.rate_limits.is_limited(upstream.name, now_s)
+            for daemon in self.daemons
+        )
+
     async def stop(self) -> None:
         """Stop all daemons and upstreams."""
         for daemon in self.daemons:
@@ -69,6 +88,13 @@
         for upstream in self.upstreams:
             upstream.stop()
 
+    def _is_live(self) -> bool:
+        now_s = self.clock.now_s()
+        for daemon in self.daemons:
+            if len(daemon.node.members.live(now_s)) < DAEMONS - 1:
+                return False
+        return True
+
     def _is_connected(self) -> bool:
         for daemon in self.daemons:
             if len(daemon.gossip.live) < DAEMONS - 1:
@@ -84,18 +110,96 @@
     await limited_fleet.stop()
 
 
-async def call(fleet: LimitedFleet, number: int) -> int:
-    """Send one request to one of the daemons; return the status."""
+async def call(fleet: LimitedFleet, number: int) -> CallerAnswer:
+    """Send one request to one of the daemons."""
     caller = StandInCaller(fleet.daemons[number % DAEMONS])
     headers = {"plantainsail-request-id": f"r{number}"}
-    return (await caller.call("/once/x", headers)).status
+    return await caller.call("/once/x", headers)
+
+
+async def call_often(fleet: LimitedFleet) -> list[int]:
+    """Send `REQUESTS` requests; return their statuses."""
+    return [(await call(fleet, number)).status for number in range(REQUESTS)]
 
 
 async def test_an_upstream_gets_no_more_than_the_limit_it_names(
     fleet: LimitedFleet,
 ) -> None:
-    for number in range(REQUESTS):
-        assert await call(fleet, number) == 200
+    assert await call_often(fleet) == [200] * REQUESTS
     limited, free = fleet.upstreams
     assert len(limited.received_requests) <= MAX_IN_WINDOW
     assert len(free.received_requests) >= REQUESTS - MAX_IN_WINDOW
+
+
+async def test_a_request_is_refused_if_all_upstreams_are_at_their_limits(
+    fleet: LimitedFleet,
+) -> None:
+    fleet.upstreams[1].serve = respond_with(LIMITED)
+    statuses = await call_often(fleet)
+    received = sum(len(one.received_requests) for one in fleet.upstreams)
+    assert statuses.count(200) == received <= 2 * MAX_IN_WINDOW
+    refused = await call(fleet, 0)
+    assert refused.status == 503
+    assert refused.headers["plantainsail-outcome"] == "not_run"
+    assert float(refused.headers["retry-after"]) > 0
+
+
+async def test_a_limited_upstream_is_used_when_no_other_is_left(
+    fleet: LimitedFleet,
+) -> None:
+    await call_often(fleet)
+    limited, free = fleet.upstreams
+    free.stop()
+    served = 0
+    for number in range(40):
+        await fleet.advance(0.25)
+        served += (await call(fleet, number)).status == 200
+    allowed = 40 * 0.25 * LIMIT_PER_S
+    assert 0.7 * allowed <= served <= allowed + 5
+
+
+async def test_an_upstream_that_names_no_limit_any_more_is_used_again(
+    fleet: LimitedFleet,
+) -> None:
+    await call_often(fleet)
+    limited, free = fleet.upstreams
+    await until(lambda: fleet.daemons_that_know(limited) == DAEMONS)
+    free.stop()
+    limited.serve = respond_with(answer())
+    await fleet.advance(WINDOW_S)
+    assert (await call(fleet, 0)).status == 200
+    await until(lambda: fleet.daemons_that_know(limited) == 0)
+    assert await call_often(fleet) == [200] * REQUESTS
+
+
+async def test_a_daemon_that_starts_later_learns_a_limit_from_its_peers(
+    fleet: LimitedFleet,
+) -> None:
+    await call_often(fleet)
+    limited, _ = fleet.upstreams
+    late = await start_entry(
+        StandInSource(configuration(), ()),
+        peer_address=free_address(),
+        seeds=(fleet.daemons[0].node.settings.peer_address,),
+    )
+    limits = late.node.rate_limits
+    await until(lambda: limited.name in limits.upstreams)
+    await late.stop()
+
+
+async def test_streams_keep_the_limit_of_an_engine(
+    fleet: LimitedFleet,
+) -> None:
+    head = STREAM_HEAD.replace(
+        SIGNATURE, SIGNATURE + b"plantainsail-rate-limit: 2\r\n"
+    )
+    body = chunk(event(0)) + STREAM_END
+    limited, free = fleet.upstreams
+    limited.serve = respond_with(head + body)
+    free.serve = respond_with(STREAM_HEAD + body)
+    for number in range(REQUESTS):
+        caller = StandInCaller(fleet.daemons[number % DAEMONS])
+        headers = {"plantainsail-request-id": f"r{number}"}
+        assert (await caller.call("/stream/x", headers)).is_whole
+    assert len(limited.received_requests) <= MAX_IN_WINDOW
+    assert len(free.received_requests) >= REQUESTS - MAX_IN_WINDOW
