--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -495,6 +495,41 @@
     assert response.headers["plantainsail-signature"] == "signed"
 
 
+UNFRAMED_HEAD = STREAM_HEAD.replace(b"transfer-encoding: chunked\r\n", b"")
+
+
+def serve_and_close(data: bytes) -> Serve:
+    async def serve(_: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(data)
+        await writer.drain()
+        writer.close()
+
+    return serve
+
+
+async def test_a_stream_without_length_or_chunks_ends_with_its_connection(
+    make_environment: MakeEnvironment,
+) -> None:
+    events = event(0) + event(1)
+    env = await make_environment(serve_and_close(UNFRAMED_HEAD + events))
+    response = await env.stream()
+    assert (response.body, response.is_whole) == (events, True)
+
+
+@pytest.mark.parametrize("head", [UNFRAMED_HEAD, STREAM_HEAD])
+async def test_a_stream_that_ends_inside_an_event_is_broken_off(
+    make_environment: MakeEnvironment, head: bytes
+) -> None:
+    """Also if its last chunk says that nothing follows."""
+    body = event(0) + event(1)[:-1]
+    if head == STREAM_HEAD:
+        body = chunk(body) + STREAM_END
+    env = await make_environment(serve_and_close(head + body))
+    response = await env.stream()
+    assert not response.is_whole
+    assert response.body in (b"", event(0))
+
+
 async def test_generation_ends_when_caller_disconnects(
     make_environment: MakeEnvironment,
 ) -> None:
