Avoid upstreams without a process on all daemons at once

Each daemon found out by itself that an engine had ended, by a refused connection, and a sound request was refused (code 3001) after three of these though other engines ran.

Change: a refused connection does not count as one of the three attempts (it costs a millisecond and surely ran nothing), and the upstream is avoided for 3 s by all daemons, which are told at once. The check after a broken answer tells them too.

--- a/src/plantainsail/entry/death_checks.py
+++ b/src/plantainsail/entry/death_checks.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from plantainsail.entry import suspects
-from plantainsail.entry.deaths import is_unreachable
+from plantainsail.entry.deaths import connect_error
 from plantainsail.entry.node import EntryNode
 from plantainsail.policy.part_quarantine import EngineDeath
 from plantainsail.routing.model import RoutedUpstream
@@ -46,9 +46,12 @@
 
     async def _record_if_dead(self, run: BrokenRun) -> None:
         upstream = run.upstream
-        if not await is_unreachable(upstream):
+        error = await connect_error(upstream)
+        if error is None:
             return
         node = self.node
+        if error.is_refused:
+            node.note_ended(upstream.identifier)
         node.registry.note_failure(upstream.identifier, node.now_s())
         node.log.warning(
             "engine died",
--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/entry/deaths.py
@@ -27,22 +27,18 @@
     return digest.intdigest() >> 1
 
 
-async def is_unreachable(upstream: RoutedUpstream) -> bool:
-    """Return whether an upstream accepts no connections."""
-    return await _connect_error(upstream) is not None
-
-
 async def has_process_ended(upstream: RoutedUpstream) -> bool:
     """Return whether an upstream's process has surely ended.
 
     Only a refused connection shows this: an upstream that doesn't
     answer may be cut off by the network and still run.
     """
-    error = await _connect_error(upstream)
+    error = await connect_error(upstream)
     return error is not None and error.is_refused
 
 
-async def _connect_error(upstream: RoutedUpstream) -> ConnectError | None:
+async def connect_error(upstream: RoutedUpstream) -> ConnectError | None:
+    """Return why an upstream accepts no connection, None if it does."""
     try:
         connection = await SingleUseConnection.open(
             upstream.address, PROBE_TIMEOUT_S
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -160,7 +160,7 @@
                 self.upstream.address, CONNECT_TIMEOUT_S
             )
         except ConnectError as error:
-            raise NotRunError("unreachable") from error
+            raise NotRunError(error.problem) from error
         head = await self._send(self.connection, self.upstream, [])
         if is_not_executed(head, self.node.dialect):
             raise NotRunError("refused")
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -144,6 +144,11 @@
             cuts=len(self.avoidance.cuts[identifier]),
         )
 
+    def note_ended(self, identifier: str) -> None:
+        """Avoid an upstream that has no process but is still listed."""
+        self.avoidance.note_ended(identifier, self.now_s())
+        self.engine_state_changed.set()
+
     def forget_gone_engines(self) -> None:
         """Drop what was measured about engines that are gone."""
         identifiers = (
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -26,6 +26,7 @@
 from plantainsail.upstreams.single_use import (
     AnswerHead,
     ConnectError,
+    ConnectProblem,
     CutShortError,
     Headers,
     SingleUseConnection,
@@ -118,7 +119,9 @@
                 and last.status < FIRST_SERVER_ERROR_STATUS
             ):
                 return last
-            if last.outcome is SendOutcome.NOT_RUN:
+            if last.reason == ConnectProblem.NO_PROCESS:
+                node.note_ended(upstream.identifier)
+            elif last.outcome is SendOutcome.NOT_RUN:
                 not_run_attempts += 1
             else:
                 attempts += 1
@@ -136,7 +139,7 @@
         return not is_idempotent or attempts >= request.route.max_attempts
 
     def _may_retry(self, request: RoutedRequest, last: SendResult) -> bool:
-        if last.reason == "unreachable":
+        if last.reason in list(ConnectProblem):
             return True
         node = self.node
         budget = node.repeat_budget(request.service.name)
@@ -217,7 +220,8 @@
             PlainView(
                 upstream,
                 node.fleet_loads.load_of(upstream.identifier, now_s).running,
-                node.registry.is_suspect(upstream.identifier, now_s),
+                node.registry.is_suspect(upstream.identifier, now_s)
+                or node.avoidance.is_avoided(upstream.identifier, now_s),
                 upstream.availability_zone == zone,
                 node.rate_limits.is_limited(upstream.identifier, now_s),
             )
@@ -266,8 +270,8 @@
             connection = await SingleUseConnection.open(
                 upstream.address, CONNECT_TIMEOUT_S
             )
-        except ConnectError:
-            return SendResult(SendOutcome.NOT_RUN, reason="unreachable")
+        except ConnectError as error:
+            return SendResult(SendOutcome.NOT_RUN, reason=error.problem)
         try:
             connection.send(
                 make_upstream_request(
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -25,7 +25,11 @@
 )
 from plantainsail.routing.registry import Departure
 from plantainsail.routing.urgency import make_claim
-from plantainsail.upstreams.single_use import AnswerHead, CutShortError
+from plantainsail.upstreams.single_use import (
+    AnswerHead,
+    ConnectProblem,
+    CutShortError,
+)
 
 # The expected output as a share of the caller's hint, or else of the
 # most that the request allows.
@@ -112,8 +116,11 @@
                 await self._run(generation)
                 return
             except NotRunError as error:
-                not_run_attempts += 1
                 reason = str(error)
+                if reason == ConnectProblem.NO_PROCESS:
+                    node.note_ended(choice.upstream.identifier)
+                else:
+                    not_run_attempts += 1
                 self._record_not_run(generation, reason)
                 if not self._may_retry(request, not_run_attempts, reason):
                     await self._refuse(
@@ -237,7 +244,7 @@
             or self._remaining_s(request) <= 0
         ):
             return False
-        if reason == "unreachable":
+        if reason in list(ConnectProblem):
             return True
         node = self.node
         budget = node.repeat_budget(request.service.name)
--- a/src/plantainsail/routing/avoidance.py
+++ b/src/plantainsail/routing/avoidance.py
@@ -1,10 +1,11 @@
-"""Avoids engines that cut streams before their first event.
+"""Avoids engines that cut streams early, and upstreams that ended.
 
 Some engines fail a part of their requests while their entries and
 health checks look good.  A request whose stream was cut may have run,
 so it must not be sent to another engine, and the only remedy is to
 send such an engine fewer requests.  The cuts that all daemons see
 within some seconds count together, and older ones are forgotten.
+Upstreams without a process are avoided until their entries end.
 """
 
 from collections import deque
@@ -15,6 +16,8 @@
 # with each further one, up to the longest time.
 FIRST_AVOIDANCE_S = 0.7
 MAX_AVOIDANCE_S = 5.0
+# The entry of a process that has ended stays listed about this long.
+ENDED_AVOIDANCE_S = 3.0
 # A peer repeats its reports with the time that is left; two reports of
 # one cut may differ by this much, as messages are delayed.
 PEER_REPEAT_MARGIN_S = 0.15
@@ -39,6 +42,12 @@
         until_s = now_s + self._count_cut(identifier, now_s)
         self._extend(identifier, until_s)
 
+    def note_ended(self, identifier: str, now_s: float) -> None:
+        """Record that no process listens at an upstream's address."""
+        self.seen_locally.add(identifier)
+        self.cuts.setdefault(identifier, deque())
+        self._extend(identifier, now_s + ENDED_AVOIDANCE_S)
+
     def record_peer_avoidance(
         self, identifier: str, for_s: float, now_s: float
     ) -> None:
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+from enum import StrEnum
 from typing import NamedTuple
 
 import h11
@@ -65,6 +66,13 @@
         return self.get(b"transfer-encoding") is None
 
 
+class ConnectProblem(StrEnum):
+    """Why an upstream can't be reached."""
+
+    NO_PROCESS = "no process"
+    UNREACHABLE = "unreachable"
+
+
 class ConnectError(ConnectionError):
     """The upstream can't be reached, so nothing was sent."""
 
@@ -73,6 +81,13 @@
         """Return whether the host refused, as no process listens."""
         return isinstance(self.__cause__, ConnectionRefusedError)
 
+    @property
+    def problem(self) -> ConnectProblem:
+        """Return why the connection failed."""
+        if self.is_refused:
+            return ConnectProblem.NO_PROCESS
+        return ConnectProblem.UNREACHABLE
+
 
 class CutShortError(ConnectionError):
     """The answer is incomplete or not valid HTTP."""
--- a/tests/standins/crashing.py
+++ b/tests/standins/crashing.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.entry.node import EntryNode
 from plantainsail.routing.model import RoutedUpstream
 from soak.fleet import free_address
 from tests.standins.routed import (
@@ -51,6 +52,7 @@
         self.engines: dict[str, StandInUpstream] = {}
         self.addresses = [free_address(), free_address()]
         self.crashing_body: bytes | None = None
+        self.engine_count = ENGINES
         self.is_unframed = False
         self.crashes = 0
         self.gone: list[str] = []
@@ -59,7 +61,9 @@
 
     async def start(self) -> None:
         """Start the engines and the daemons, which find each other."""
-        entries = [await self._start_engine() for _ in range(ENGINES)]
+        entries = [
+            await self._start_engine() for _ in range(self.engine_count)
+        ]
         for address in self.addresses:
             source = StandInSource(configuration(), tuple(entries))
             self.sources.append(source)
@@ -114,6 +118,16 @@
         await until(self._has_learned)
         self.gone.clear()
 
+    async def until_avoided(self, node: EntryNode, engines: int) -> None:
+        """Wait until a daemon avoids so many engines."""
+        await until(lambda: self._avoided(node) == engines)
+
+    def _avoided(self, node: EntryNode) -> int:
+        now_s = node.now_s()
+        return sum(
+            node.avoidance.is_avoided(name, now_s) for name in self.engines
+        )
+
     def _is_connected(self) -> bool:
         return all(daemon.gossip.live for daemon in self.daemons)
 
