Quarantine chats by their messages in the other daemon

Change: the messages of a chat but the last are its parts, and the same code as in the entry daemon decides. Heartbeats carry suspect parts in the section of suspects, quarantined ones for as long as they hold, as fields that earlier builds skip. The quarantine of whole requests stays beside it.

--- a/src/plantainsail/api/bodies.py
+++ b/src/plantainsail/api/bodies.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 from expression import Error, Ok, Result
 from starlette.requests import ClientDisconnect, Request
 
@@ -12,6 +13,8 @@
 from plantainsail.results import Code, Failure
 from plantainsail.settings import Settings
 
+# Of longer chats only the first messages are compared with others.
+MAX_PROMPT_PARTS = 64
 DEFAULT_MAX_TOKENS = 1_024
 MAX_MAX_TOKENS = 131_072
 MAX_TEMPERATURE = 2.0
@@ -101,7 +104,11 @@
 
 
 class GenerationBody(NamedTuple):
-    """The checked parameters of a chat or plain completion."""
+    """The checked parameters of a chat or plain completion.
+
+    `parts` are the hashes of a chat's messages but the last, which
+    other chats may share.
+    """
 
     model: str
     prompt: str
@@ -111,6 +118,7 @@
     temperature: float | None
     seed: int | None
     stop: tuple[str, ...]
+    parts: tuple[str, ...] = ()
 
 
 async def read_body(
@@ -157,12 +165,20 @@
                 RecordError("$.messages", "at least one message", "none")
             )
         )
-    prompt = "\n".join(
-        f"{m.role}: {_content_text(m.content)}" for m in body.messages
-    )
+    lines = [f"{m.role}: {_content_text(m.content)}" for m in body.messages]
     if body.max_completion_tokens is not None:
         body = body._replace(max_tokens=body.max_completion_tokens)
-    return _validate(value, body, prompt)
+    checked = _validate(value, body, "\n".join(lines))
+    return checked.map(lambda chat: chat._replace(parts=_part_hashes(lines)))
+
+
+def _part_hashes(messages: list[str]) -> tuple[str, ...]:
+    """Return the hashes of all messages but the last."""
+    hashes: list[str] = []
+    for message in messages[:-1][:MAX_PROMPT_PARTS]:
+        digest = xxhash.xxh3_64_hexdigest(message.encode(errors="replace"))
+        hashes.append(f"message:{digest}")
+    return tuple(hashes)
 
 
 def parse_completion(value: object) -> Result[GenerationBody, Failure]:
--- a/src/plantainsail/api/completions.py
+++ b/src/plantainsail/api/completions.py
@@ -238,6 +238,7 @@
         stop=body.stop,
         temperature=body.temperature,
         seed=body.seed,
+        parts=body.parts,
     )
     facts = StreamFacts(work.request, work.model, work.prompt_tokens, shape)
     return Ok(run_generation(node, work, prompt, facts))
--- a/src/plantainsail/entry/announcements.py
+++ b/src/plantainsail/entry/announcements.py
@@ -11,6 +11,7 @@
 
 from plantainsail.entry import limits, suspects
 from plantainsail.entry.node import EntryNode
+from plantainsail.entry.suspects import MAX_PARTS_PER_MESSAGE
 from plantainsail.routing.messages import RateLimitReport, SuspectParts
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -56,7 +57,9 @@
     def repeat(self) -> list[bytes]:
         """Return messages on what any daemon must know now."""
         node = self.node
-        records = suspects.records_to_repeat(node)
+        records = node.quarantine.records_to_repeat(
+            node.now_s(), MAX_PARTS_PER_MESSAGE
+        )
         limited = node.rate_limits.in_force(node.now_s())
         return _encode(
             suspects.make_messages(node, records),
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -25,6 +25,7 @@
     is_valid_answer_head,
     make_upstream_request,
 )
+from plantainsail.policy.part_quarantine import SOUND_RUN_S
 from plantainsail.routing.event_frames import EventTooLongError, Frame
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.model import RoutedUpstream
@@ -43,9 +44,6 @@
 HTTP_OK = 200
 # A stream that broke off waits at most this long for the final copy.
 MOVE_TIMEOUT_S = 1.5
-# A prompt that crashes engines does so as they begin to write.  One
-# that an engine answered for this long is sound.
-SOUND_RUN_S = 1.5
 
 
 class NotRunError(Exception):
--- a/src/plantainsail/entry/suspects.py
+++ b/src/plantainsail/entry/suspects.py
@@ -22,9 +22,6 @@
 )
 
 MAX_PARTS_PER_MESSAGE = 10
-# Messages to single peers repeat the records that changed within this
-# time, so that a lost message does no harm.
-MAX_REPEATED_AGE_S = 10.0
 
 
 def parts_of(request: RoutedRequest, dialect: Dialect) -> tuple[str, ...]:
@@ -117,22 +114,6 @@
     return messages
 
 
-def records_to_repeat(node: EntryNode) -> list[PartRecord]:
-    """Return the records that any peer must know, the newest first.
-
-    These are the quarantined ones of any age, since a daemon that has
-    just started knows none, and those that changed lately.
-    """
-    now_s = node.now_s()
-    records = node.quarantine.quarantined(now_s)
-    for record in reversed(node.quarantine.records.values()):
-        if now_s - record.last_change_s > MAX_REPEATED_AGE_S:
-            break
-        if record not in records:
-            records.append(record)
-    return records[:MAX_PARTS_PER_MESSAGE]
-
-
 def apply_message(node: EntryNode, message: SuspectParts) -> None:
     """Merge the records that a peer sent."""
     now_s = node.now_s()
--- a/src/plantainsail/peers/suspect_section.py
+++ b/src/plantainsail/peers/suspect_section.py
@@ -3,9 +3,16 @@
 from plantainsail.identity import Incarnation
 from plantainsail.peers.wire import suspects_pb2
 from plantainsail.peers.wire.fleet_pb2 import HeartbeatMessage
+from plantainsail.policy.part_quarantine import (
+    NEVER_S,
+    EngineDeath,
+    PartQuarantine,
+    PartRecord,
+)
 from plantainsail.policy.quarantine import Quarantine, Suspect
 
 MAX_DEATHS = 8
+MAX_PARTS = 64
 REPEAT_AGE_S = 10.0
 
 
@@ -14,11 +21,13 @@
 
     A suspect is repeated while its last death is younger than
     `REPEAT_AGE_S`, so that a lost heartbeat does no harm and a fleet
-    without recent deaths sends nothing.
+    without recent deaths sends nothing.  Suspect parts of prompts are
+    also repeated for as long as they are quarantined.
     """
 
-    def __init__(self, quarantine: Quarantine) -> None:
+    def __init__(self, quarantine: Quarantine, parts: PartQuarantine) -> None:
         self.quarantine = quarantine
+        self.parts = parts
 
     def fill(
         self,
@@ -38,6 +47,8 @@
                     age_s=int(age_s),
                 )
             )
+        for record in self.parts.records_to_repeat(now_s, MAX_PARTS):
+            message.suspects.parts.append(_encode_part(record, now_s))
 
     def absorb(
         self, message: HeartbeatMessage, peer: Incarnation, now_s: float
@@ -50,3 +61,36 @@
                 now_s - reported.age_s,
             )
             self.quarantine.merge(suspect, now_s)
+        for part in message.suspects.parts[:MAX_PARTS]:
+            self.parts.merge(_decode_part(part, now_s), now_s)
+
+
+def _encode_part(record: PartRecord, now_s: float) -> suspects_pb2.SuspectPart:
+    part = suspects_pb2.SuspectPart(part=record.part)
+    if record.sound_s != NEVER_S:
+        part.sound_age_s = now_s - record.sound_s
+    for death in record.deaths:
+        part.deaths.append(
+            suspects_pb2.EngineDeath(
+                upstream=death.upstream,
+                started_age_s=now_s - death.started_s,
+                died_age_s=now_s - death.died_s,
+            )
+        )
+    return part
+
+
+def _decode_part(part: suspects_pb2.SuspectPart, now_s: float) -> PartRecord:
+    sound_s = NEVER_S
+    if part.HasField("sound_age_s"):
+        sound_s = now_s - part.sound_age_s
+    deaths: list[EngineDeath] = []
+    for death in part.deaths[:MAX_DEATHS]:
+        deaths.append(
+            EngineDeath(
+                death.upstream,
+                now_s - death.started_age_s,
+                now_s - death.died_age_s,
+            )
+        )
+    return PartRecord(part.part, tuple(deaths), sound_s)
--- a/src/plantainsail/policy/part_quarantine.py
+++ b/src/plantainsail/policy/part_quarantine.py
@@ -35,6 +35,12 @@
 RECORD_LIFETIME_S = 600.0
 QUARANTINE_LIFETIME_S = 1_800.0
 NEVER_S = float("-inf")
+# Records that changed within this time are repeated to peers, so that a
+# lost message does no harm.
+MAX_REPEATED_AGE_S = 10.0
+# A request that crashes an engine does so as it begins to write.  One
+# that an engine answered for this long is sound.
+SOUND_RUN_S = 1.5
 
 
 class EngineDeath(NamedTuple):
@@ -199,6 +205,20 @@
                 records.append(record)
         return records
 
+    def records_to_repeat(self, now_s: float, most: int) -> list[PartRecord]:
+        """Return the records that any peer must know, at most so many.
+
+        These are the quarantined ones of any age, since a daemon that
+        has just started knows none, and those that changed lately.
+        """
+        records = self.quarantined(now_s)
+        for record in reversed(self.records.values()):
+            if now_s - record.last_change_s > MAX_REPEATED_AGE_S:
+                break
+            if record not in records:
+                records.append(record)
+        return records[:most]
+
     def pop_unsent(self, now_s: float) -> list[PartRecord]:
         """Return the records that changed here since the last call."""
         records: list[PartRecord] = []
--- a/src/plantainsail/runtime/fleet.py
+++ b/src/plantainsail/runtime/fleet.py
@@ -97,13 +97,19 @@
         if self.node.marks.latest > self.announced_mark:
             self.wake_contacts()
         self._update_gauges(now_s)
-        if self.node.quarantine.has_unsent_suspects:
+        if self._has_unsent_suspects():
             self.node.quarantine.has_unsent_suspects = False
+            self.node.part_quarantine.unsent.clear()
             self.send_heartbeats_now()
         if now_s - self.tls_checked_s >= TLS_RELOAD_INTERVAL_S:
             self.tls_checked_s = now_s
             self._reload_tls()
 
+    def _has_unsent_suspects(self) -> bool:
+        if self.node.quarantine.has_unsent_suspects:
+            return True
+        return bool(self.node.part_quarantine.unsent)
+
     def wake_contacts(self) -> None:
         """Wake the tasks of all contacts to send new marks."""
         self.announced_mark = self.node.marks.latest
--- a/src/plantainsail/runtime/generation_endings.py
+++ b/src/plantainsail/runtime/generation_endings.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 
 from plantainsail.lists.model import HostEntry
+from plantainsail.logs import get_logger
+from plantainsail.policy.part_quarantine import EngineDeath
 from plantainsail.policy.retries import (
     MAX_ATTEMPTS,
     may_retry,
@@ -16,6 +18,8 @@
 from plantainsail.runtime.node import Node
 from plantainsail.streams.relay import Relay
 
+logger = get_logger("generations")
+
 # Only these codes say that the engine lost the generation.  A timeout
 # isn't among them: a silent engine may be alive behind a stalled link.
 ENGINE_DEATH_CODES = frozenset({Code.UPSTREAM_TRUNCATED, Code.GENERATION_LOST})
@@ -70,13 +74,15 @@
 class FailedGeneration(NamedTuple):
     """A generation that failed on an engine.
 
-    `fingerprint` identifies its request in the quarantine, and
-    `started_s` is when it started on this engine.
+    `fingerprint` identifies its request in the quarantine, and `parts`
+    those of its prompt that may have crashed the engine.  `started_s`
+    is when it started on this engine.
     """
 
     engine: HostEntry
     failure: Failure
     fingerprint: int
+    parts: tuple[str, ...]
     started_s: float
 
 
@@ -90,12 +96,7 @@
     engine, failure = failed_generation.engine, failed_generation.failure
     is_leaving = node.marks.is_leaving(engine)
     if failure.code in ENGINE_DEATH_CODES and not is_leaving:
-        node.quarantine.note_death(
-            failed_generation.fingerprint,
-            f"{engine.host}/{engine.incarnation}",
-            failed_generation.started_s,
-            node.now_s(),
-        )
+        _note_death(node, failed_generation)
     if failure.code == Code.UPSTREAM_DRAINING:
         node.marks.mark_draining(engine, node.now_s())
     relay = stream.relay
@@ -106,6 +107,22 @@
     schedule_cancel(node, engine, relay)
 
 
+def _note_death(node: Node, failed_generation: FailedGeneration) -> None:
+    engine, started_s = failed_generation.engine, failed_generation.started_s
+    upstream = f"{engine.host}/{engine.incarnation}"
+    now_s = node.now_s()
+    node.quarantine.note_death(
+        failed_generation.fingerprint, upstream, started_s, now_s
+    )
+    quarantined = node.part_quarantine.note_death(
+        failed_generation.parts,
+        EngineDeath(upstream, started_s, now_s),
+        now_s,
+    )
+    for part in quarantined:
+        logger.warning("part quarantined", part=part, engine=engine.host)
+
+
 class AttemptCount(NamedTuple):
     """The number of attempts of a generation, not counting moves.
 
--- a/src/plantainsail/runtime/generation_messages.py
+++ b/src/plantainsail/runtime/generation_messages.py
@@ -14,13 +14,18 @@
 
 
 class Prompt(NamedTuple):
-    """The prompt and sampling parameters that the caller sent."""
+    """The prompt and sampling parameters that the caller sent.
+
+    `parts` identify the parts of the prompt that other requests may
+    share.
+    """
 
     text: str
     max_tokens: int
     stop: tuple[str, ...] = ()
     temperature: float | None = None
     seed: int | None = None
+    parts: tuple[str, ...] = ()
 
 
 def make_generation_request(
--- a/src/plantainsail/runtime/generations.py
+++ b/src/plantainsail/runtime/generations.py
@@ -15,6 +15,7 @@
 from plantainsail.identity import draw_identifier
 from plantainsail.lists.model import HostEntry
 from plantainsail.logs import get_logger
+from plantainsail.policy.part_quarantine import SOUND_RUN_S
 from plantainsail.policy.quarantine import fingerprint_of
 from plantainsail.policy.retries import (
     back_off_s,
@@ -82,6 +83,8 @@
         self.logger = get_logger("generations")
         self.fingerprint = fingerprint_of(self.work, prompt.text)
         self.started_s = node.now_s()
+        self.first_chunk_s: float | None = None
+        self.is_proven_sound = False
         self.attempts = 0
         self.token_counter = node.metrics.tokens.labels(self.work.model)
         self.token_gap_histogram = node.metrics.token_gap.labels(
@@ -178,6 +181,8 @@
         self.place = place
         is_completed = False
         self.started_s = self.node.now_s()
+        self.first_chunk_s = None
+        self.is_proven_sound = False
         self.mover.record_start(self._engines_to_avoid())
         self.node.quarantine.note_started(
             host, self.work.request, self.fingerprint
@@ -212,11 +217,28 @@
         suspect = self.node.quarantine.find(
             self.fingerprint, self.node.now_s()
         )
-        if suspect is None or not suspect.is_quarantined:
+        if suspect is not None and suspect.is_quarantined:
+            return Failure(
+                Code.QUARANTINED,
+                f"{len(suspect.deaths)} engines died running this request",
+            )
+        cause = self.node.part_quarantine.find_cause(
+            self.prompt.parts, self.node.now_s()
+        )
+        if cause is None:
             return None
         return Failure(
             Code.QUARANTINED,
-            f"{len(suspect.deaths)} engines died while running this request",
+            f"{len(cause.deaths)} engines died under {cause.part}",
+        )
+
+    def _record_sound_run(self) -> None:
+        """Record once that the prompt does not crash its engine."""
+        if self.is_proven_sound or self.first_chunk_s is None:
+            return
+        self.is_proven_sound = True
+        self.node.part_quarantine.note_sound_run(
+            self.prompt.parts, self.first_chunk_s, self.node.now_s()
         )
 
     def _engines_to_avoid(self) -> Collection[str]:
@@ -268,7 +290,11 @@
                 self.node,
                 self.stream,
                 FailedGeneration(
-                    engine, failure, self.fingerprint, self.started_s
+                    engine,
+                    failure,
+                    self.fingerprint,
+                    () if self.is_proven_sound else self.prompt.parts,
+                    self.started_s,
                 ),
             )
         return failure
@@ -299,6 +325,7 @@
             is_known_to_engine = True
             step = await self._read_attempt(reads, relay)
             if step.next is NextAction.FINISHED:
+                self._record_sound_run()
                 return None
             failure = step.failure or Failure(Code.INTERNAL, "no reason")
             if step.next is NextAction.LOST:
@@ -383,6 +410,10 @@
         else:
             self.token_gap_histogram.observe(now_s - self.last_chunk_s)
         self.last_chunk_s = now_s
+        if self.first_chunk_s is None:
+            self.first_chunk_s = now_s
+        elif now_s - self.first_chunk_s >= SOUND_RUN_S:
+            self._record_sound_run()
         tokens = 0
         for chunk in step.relayed:
             tokens += chunk.tokens
--- a/src/plantainsail/runtime/node_core.py
+++ b/src/plantainsail/runtime/node_core.py
@@ -20,6 +20,7 @@
 from plantainsail.peers.suspect_section import SuspectSection
 from plantainsail.policy.hedges import HedgePolicy
 from plantainsail.policy.orders import OrderPlanner
+from plantainsail.policy.part_quarantine import PartQuarantine
 from plantainsail.policy.quarantine import Quarantine
 from plantainsail.policy.retries import RetryBudgets
 from plantainsail.results import Code, Failure
@@ -71,6 +72,7 @@
         )
         self.streams = LiveStreams()
         self.quarantine = Quarantine()
+        self.part_quarantine = PartQuarantine()
         self.retries = RetryBudgets()
         self.hedges = HedgePolicy()
         # Stays None in a node that is used without a daemon.
@@ -93,7 +95,7 @@
         # Other parts append their sections before the daemon starts.
         self.sections: list[HeartbeatSection] = [
             self.dispatcher.heartbeats,
-            SuspectSection(self.quarantine),
+            SuspectSection(self.quarantine, self.part_quarantine),
         ]
         self.registrations: list[Registration] = []
         self.freshness = NodeFreshness(
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,9 +11,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plantainsail.daemon import Daemon
 from plantainsail.identity import Incarnation
 from plantainsail.peers.suspect_section import REPEAT_AGE_S, SuspectSection
 from plantainsail.peers.wire.fleet_pb2 import HeartbeatMessage
+from plantainsail.policy.part_quarantine import EngineDeath, PartQuarantine
 from plantainsail.policy.quarantine import (
     COMMON_CAUSE_ENGINES,
     MAX_SUSPECTS,
@@ -30,9 +32,12 @@
     call,
     earn_retries,
     start_daemon,
+    start_fleet,
 )
 
 CRASHING = 7
+# From the fifth death on, no further request may reach an engine.
+MAX_DEATHS = 5
 PEER = Incarnation("127.0.0.1:1", 1)
 WORK = Work("req-1", "desk", "large", "m", 1, 1, 1, 0.0, 9.0)
 
@@ -41,8 +46,8 @@
     source: Quarantine, target: Quarantine, now_s: float
 ) -> None:
     message = HeartbeatMessage()
-    SuspectSection(source).fill(message, PEER, now_s)
-    SuspectSection(target).absorb(message, PEER, now_s)
+    SuspectSection(source, PartQuarantine()).fill(message, PEER, now_s)
+    SuspectSection(target, PartQuarantine()).absorb(message, PEER, now_s)
 
 
 def test_second_death_quarantines() -> None:
@@ -106,7 +111,7 @@
     quarantine = Quarantine()
     quarantine.note_death(CRASHING, "engine-1/a", 0.0, 1.0)
     message = HeartbeatMessage()
-    section = SuspectSection(quarantine)
+    section = SuspectSection(quarantine, PartQuarantine())
     section.fill(message, PEER, 2.0 + REPEAT_AGE_S)
     assert message.ByteSize() == 0
     section.fill(message, None, 2.0 + REPEAT_AGE_S)
@@ -202,3 +207,74 @@
     assert sum(engine.deaths for engine in platform.engines) == 2
     for daemon in daemons:
         await daemon.stop()
+
+
+async def test_chats_that_share_a_crashing_message_are_refused(
+    platform: Platform,
+) -> None:
+    """No two chats are alike; sound ones share all but one message."""
+    for engine in platform.engines:
+        engine.poison = "crash"
+    daemons = await start_fleet(platform, 2)
+    codes = []
+    for turn in range(8):
+        daemon = daemons[turn % 2]
+        earn_retries(daemon, 1)
+        codes.append(await chat(daemon, "crash", f"question {turn}"))
+        for receiver in daemons:
+            await carry_suspects(daemon, receiver)
+        sound = await chat(daemons[0], "be kind", f"question {turn}")
+        assert sound is None
+    assert codes[-1] == "quarantined"
+    assert sum(engine.deaths for engine in platform.engines) <= MAX_DEATHS
+    for daemon in daemons:
+        await daemon.stop()
+
+
+def test_heartbeats_repeat_a_quarantined_part_of_any_age() -> None:
+    """A daemon that starts later knows none."""
+    known, unknown = PartQuarantine(), PartQuarantine()
+    for number in range(2):
+        at_s = 10.0 * number
+        death = EngineDeath(f"engine-{number}/a", at_s, at_s + 1.0)
+        known.note_death(("message:1",), death, at_s + 1.0)
+    known.note_sound_run(("message:2",), 1.0, 2.0)
+    now_s = 20.0 * REPEAT_AGE_S
+    message = HeartbeatMessage()
+    SuspectSection(Quarantine(), known).fill(message, PEER, now_s)
+    SuspectSection(Quarantine(), unknown).absorb(message, PEER, now_s)
+    assert unknown.records == known.records
+    assert unknown.find_cause(("message:1",), now_s) is not None
+
+
+async def chat(daemon: Daemon, rule: str, question: str) -> str | None:
+    """Send a chat; return the code of its failure, None if answered."""
+    messages = [
+        {"role": "system", "content": "You write guides."},
+        {"role": "system", "content": rule},
+        {"role": "user", "content": question},
+    ]
+    body = {"model": MODEL, "messages": messages, "max_tokens": 8}
+    answer = await call(
+        f"127.0.0.1:{daemon.caller_listener.port}",
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(body).encode(),
+    )
+    if answer.status == 200:
+        return None
+    code = json.loads(answer.body)["error"]["code"]
+    assert isinstance(code, str)
+    return code
+
+
+async def carry_suspects(sender: Daemon, receiver: Daemon) -> None:
+    """Carry the heartbeat sections of suspects to another daemon."""
+    message = HeartbeatMessage()
+    now_s = sender.node.now_s()
+    for section in sender.node.sections:
+        if isinstance(section, SuspectSection):
+            section.fill(message, PEER, now_s)
+    for section in receiver.node.sections:
+        if isinstance(section, SuspectSection):
+            section.absorb(message, PEER, receiver.node.now_s())
