Give results of sends and recorded failures modules of their own

Moved without a change: SendResult and classify_answer to entry/send_results.py, record_failure to entry/failures.py. The check for quarantined parts looks at the number of deaths first, as most records have one.

--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -6,29 +6,30 @@
 """
 
 import asyncio
-from enum import Enum, auto
-from typing import NamedTuple
 
 from plantainsail.entry import limits, suspects
 from plantainsail.entry.death_checks import BrokenRun, DeathChecks
-from plantainsail.entry.dialect import parse_decimal
+from plantainsail.entry.failures import record_failure
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import (
     RoutedRequest,
-    is_not_executed,
-    is_valid_answer_head,
     make_upstream_request,
 )
+from plantainsail.entry.send_results import (
+    CUT_SHORT,
+    FIRST_SERVER_ERROR_STATUS,
+    SendOutcome,
+    SendResult,
+    classify_answer,
+)
 from plantainsail.results import Code, Failure, Outcome
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.model import RequestKind, RoutedUpstream
 from plantainsail.routing.placement import PlainView, choose_plain
 from plantainsail.upstreams.single_use import (
-    AnswerHead,
     ConnectError,
     ConnectProblem,
     CutShortError,
-    Headers,
     SingleUseConnection,
 )
 
@@ -40,31 +41,6 @@
 ATTEMPT_TIME_SHARE = 0.45
 MIN_RETRY_AFTER_S = 0.1
 MAX_NOT_RUN_ATTEMPTS = 3
-FIRST_SERVER_ERROR_STATUS = 500
-CUT_SHORT = "cut short"
-
-
-class SendOutcome(Enum):
-    """How one attempt at an upstream ended."""
-
-    ANSWERED = auto()
-    NOT_RUN = auto()
-    FAILED = auto()
-
-
-class SendResult(NamedTuple):
-    """The outcome of one attempt, with the upstream's answer if any.
-
-    `named_limit` is the rate limit that the upstream named in it, in
-    requests a second.
-    """
-
-    outcome: SendOutcome
-    status: int = 0
-    headers: Headers = []
-    body: bytes = b""
-    reason: str = ""
-    named_limit: float | None = None
 
 
 class PlainForwarder:
@@ -329,41 +305,3 @@
         metrics.requests.labels(kind, outcome).inc()
         latency_s = self.node.now_s() - request.arrived_s
         metrics.latency.labels(kind).observe(latency_s)
-
-
-def classify_answer(
-    head: AnswerHead, body: bytes, request: RoutedRequest, node: EntryNode
-) -> SendResult:
-    """Return what a complete answer says about its attempt."""
-    if is_not_executed(head, node.dialect):
-        return SendResult(SendOutcome.NOT_RUN, reason="refused")
-    if not is_valid_answer_head(head, request, node.dialect):
-        return SendResult(SendOutcome.FAILED, reason="not its answer")
-    return SendResult(
-        SendOutcome.ANSWERED,
-        head.status,
-        head.headers,
-        body,
-        "error status" if head.status >= FIRST_SERVER_ERROR_STATUS else "",
-        parse_decimal(head.get(node.dialect.rate_limit)),
-    )
-
-
-def record_failure(
-    node: EntryNode, request: RoutedRequest, failure: Failure
-) -> None:
-    """Count and log a failure with its configuration."""
-    code = Code(failure.code)
-    node.metrics.refusals.labels(code.name.lower()).inc()
-    node.log.info(
-        "request failed",
-        request=request.identifier,
-        code=int(code),
-        reason=failure.detail,
-        kind=request.route.kind.value,
-        route=request.route.name,
-        service=request.service.name,
-        after_ms=int((node.now_s() - request.arrived_s) * 1000),
-        configuration=request.configuration_version,
-        configuration_age_ms=node.in_force.age_ms(node.now_s()),
-    )
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -6,6 +6,7 @@
 from plantainsail.entry.death_checks import BrokenRun, DeathChecks
 from plantainsail.entry.dialect import parse_decimal, parse_token_counts
 from plantainsail.entry.engine_watch import EngineWatch
+from plantainsail.entry.failures import record_failure
 from plantainsail.entry.generation import (
     Generation,
     GenerationLostError,
@@ -13,7 +14,7 @@
 )
 from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
-from plantainsail.entry.plain import MAX_ANSWER_BYTES, record_failure
+from plantainsail.entry.plain import MAX_ANSWER_BYTES
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.entry.waiting import Waiter, WaitingQueue
 from plantainsail.results import Code, Failure
--- a/src/plantainsail/policy/part_quarantine.py
+++ b/src/plantainsail/policy/part_quarantine.py
@@ -199,9 +199,10 @@
     def quarantined(self, now_s: float) -> list[PartRecord]:
         """Return the quarantined parts, the last changed first."""
         records: list[PartRecord] = []
-        for part in reversed(self.records):
-            record = self.find(part, now_s)
-            if record is not None and self._is_quarantined(record):
+        for record in reversed(self.records.values()):
+            if not self._is_quarantined(record):
+                continue
+            if self.find(record.part, now_s) is not None:
                 records.append(record)
         return records
 
@@ -230,11 +231,11 @@
         return records
 
     def _is_quarantined(self, record: PartRecord) -> bool:
+        if len(record.deaths) < QUARANTINE_DEATHS:
+            return False
         needed = QUARANTINE_DEATHS
         if self.sound_runs.get(record.part, 0) >= PROVEN_SOUND_RUNS:
             needed = PROVEN_QUARANTINE_DEATHS
-        if len(record.deaths) < needed:
-            return False
         return record.deaths_in_sequence() >= needed
 
     def _is_explained(
