Check a rate limit in the soak

One upstream names a limit of 3 requests a second throughout; once all faults have ended, it must get no more than the users' bound in any 4 s. The calm at the end is 8 s, not 4, so that windows fit in. A harmful part can't be played: the soak's links accept connections for an upstream that has ended.

--- a/soak/run.py
+++ b/soak/run.py
@@ -5,8 +5,9 @@
 The checks compare what callers received with what upstreams ran: an
 answer is complete and belongs to its request; a request that is not
 idempotent runs at most once; a request reported as not run did not
-run; a key that was revoked long ago does not work; and requests are
-served again once all faults have ended.
+run; a key that was revoked long ago does not work; requests are served
+again once all faults have ended; and from then on an upstream that
+names a rate limit gets no more than that.
 """
 
 import asyncio
@@ -21,7 +22,12 @@
 from soak.caller import Attempt, call
 from soak.fleet import SoakDaemon, free_address
 from soak.proxy import Fault, FaultyLink
-from soak.upstreams import SoakUpstream, count_runs, whole_stream
+from soak.upstreams import (
+    SoakUpstream,
+    count_runs,
+    most_arrivals,
+    whole_stream,
+)
 
 CALLS_PER_SECOND = 40.0
 MEAN_FAULT_INTERVAL_S = 0.7
@@ -30,6 +36,14 @@
 # working within this time.
 REVOCATION_LIMIT_S = 3.0
 KINDS = ("safe", "once", "stream")
+LIMIT_PER_S = 3.0
+# Daemons must keep a rate limit this long after the last fault, in any
+# window, with some tolerance.
+LIMIT_SETTLED_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_EXTRA_REQUESTS = 5
+CALM_S = 8.0
 
 
 class SeedResult(NamedTuple):
@@ -57,6 +71,8 @@
             SoakUpstream(f"u{n}", random.Random(seed * 100 + n))
             for n in range(4)
         ]
+        self.limited = self.upstreams[0]
+        self.limited.limit_per_s = LIMIT_PER_S
         self.links: list[FaultyLink] = []
         self.version = 0
         self.keys = {"key-0": "desk"}
@@ -76,11 +92,14 @@
             await faults
             await self._end_faults()
             recovered_from = len(self.attempts)
-            await asyncio.sleep(4.0)
+            recovered_s = asyncio.get_running_loop().time()
+            await asyncio.sleep(CALM_S)
             self.is_over = True
             await load
             await asyncio.gather(*self.tasks)
-            return self._check_attempts(recovered_from)
+            result = self._check_attempts(recovered_from)
+            result.problems.extend(self._check_limit(recovered_s))
+            return result
         finally:
             await self._stop()
 
@@ -277,6 +296,17 @@
             self.seed, len(self.attempts), answered, self.faults, problems
         )
 
+    def _check_limit(self, recovered_s: float) -> list[str]:
+        """Return a problem if the limited upstream got too much."""
+        allowed = LIMIT_TOLERANCE * LIMIT_PER_S * LIMIT_WINDOW_S
+        allowed += LIMIT_EXTRA_REQUESTS
+        got = most_arrivals(
+            self.limited, recovered_s + LIMIT_SETTLED_S, LIMIT_WINDOW_S
+        )
+        if got <= allowed:
+            return []
+        return [f"{self.limited.name}: got {got} requests, not {allowed:.0f}"]
+
     def check_attempt(self, attempt: Attempt, runs: int) -> list[str]:
         """Return the problems of an attempt with that many runs."""
         problems: list[str] = []
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -26,7 +26,9 @@
     """Serves requests and streams, and fails a share of them.
 
     A failing request is refused, aborted after its run, or, for a
-    stream, cut in the middle of an event.
+    stream, cut in the middle of an event.  `limit_per_s`, if set, is
+    the rate limit that it names in its answers.  `arrivals_s` are the
+    times at which requests came, on the clock of the event loop.
     """
 
     def __init__(self, name: str, random_source: random.Random) -> None:
@@ -36,6 +38,8 @@
         self.server: asyncio.Server | None = None
         self.address = ""
         self.failure_share = 0.0
+        self.limit_per_s: float | None = None
+        self.arrivals_s: list[float] = []
 
     async def start(self) -> None:
         """Start listening."""
@@ -74,6 +78,7 @@
         if headers.get(DIALECT.expected_upstream.decode()) != self.name:
             writer.write(b"HTTP/1.1 421 Other\r\ncontent-length: 0\r\n\r\n")
             return
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         draw = self.random_source.random()
         if draw < self.failure_share / 3:
             name = DIALECT.not_executed.decode()
@@ -94,14 +99,14 @@
             )
             return
         await asyncio.sleep(MAX_WORK_S * self.random_source.random())
-        writer.write(_head(request, f"content-length: {len(request)}"))
+        writer.write(self._head(request, f"content-length: {len(request)}"))
         writer.write(request.encode())
         await writer.drain()
 
     async def _stream(
         self, request: str, writer: asyncio.StreamWriter, *, is_cut: bool
     ) -> None:
-        writer.write(_head(request, "transfer-encoding: chunked"))
+        writer.write(self._head(request, "transfer-encoding: chunked"))
         for number in range(EVENT_COUNT):
             data = stream_event(request, number)
             if is_cut and number == EVENT_COUNT // 2:
@@ -116,6 +121,32 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def _head(self, request: str, framing: str) -> bytes:
+        signature = DIALECT.signature.decode()
+        name = DIALECT.request_id.decode()
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"{signature}: signed",
+            f"{name}: {request}",
+            framing,
+        ]
+        if self.limit_per_s is not None:
+            limit = DIALECT.rate_limit.decode()
+            lines.append(f"{limit}: {self.limit_per_s}")
+        return "\r\n".join([*lines, "", ""]).encode()
+
+
+def most_arrivals(upstream: SoakUpstream, from_s: float, span_s: float) -> int:
+    """Return the most arrivals within a span of time after `from_s`."""
+    most = 0
+    arrivals_s = [at_s for at_s in upstream.arrivals_s if at_s >= from_s]
+    for start_s in arrivals_s:
+        within = [
+            at_s for at_s in arrivals_s if start_s <= at_s < start_s + span_s
+        ]
+        most = max(most, len(within))
+    return most
+
 
 def stream_event(request: str, number: int) -> bytes:
     """Return the event with this number of a request's stream."""
@@ -136,15 +167,6 @@
     )
 
 
-def _head(request: str, framing: str) -> bytes:
-    signature = DIALECT.signature.decode()
-    name = DIALECT.request_id.decode()
-    return (
-        f"HTTP/1.1 200 OK\r\n{signature}: signed\r\n{name}: {request}\r\n"
-        f"{framing}\r\n\r\n".encode()
-    )
-
-
 def _header_lines(head: str) -> list[tuple[str, str]]:
     pairs: list[tuple[str, str]] = []
     for line in head.split("\r\n")[1:]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -115,3 +115,12 @@
     soak: Soak, attempt: Attempt, runs: int
 ) -> None:
     assert soak.check_attempt(attempt, runs) == []
+
+
+def test_an_upstream_that_gets_more_than_its_limit_is_found(
+    soak: Soak,
+) -> None:
+    soak.limited.arrivals_s = [100.0 + 0.1 * number for number in range(60)]
+    assert soak._check_limit(97.0) != []
+    soak.limited.arrivals_s = [100.0 + number for number in range(60)]
+    assert soak._check_limit(97.0) == []
