Reserve limits at choice, tell unframed answers from sound ones

A plain answer with neither length nor chunks counted as sound although a crash may have ended it: it proves nothing now, and its upstream is checked, as for streams. A malformed limit lifted the limit in force: it is logged and changes nothing now. A request counts against a limit when its upstream is chosen, not once the connection stands, so that requests of one moment see each other. The gauges are also set when parts and limits expire.

New tests: a_crash_that_ends_an_unframed_answer_counts, a_malformed_limit_changes_nothing.

--- a/src/plantainsail/entry/caller.py
+++ b/src/plantainsail/entry/caller.py
@@ -8,7 +8,11 @@
 
 from plantainsail.api.responses import failure_response
 from plantainsail.results import Failure
-from plantainsail.upstreams.single_use import Headers, first_value
+from plantainsail.upstreams.single_use import (
+    BODILESS_STATUSES,
+    Headers,
+    first_value,
+)
 
 T = TypeVar("T")
 
@@ -26,7 +30,6 @@
         b"expect",
     }
 )
-BODILESS_STATUSES = frozenset({204, 304})
 CLOSE = (b"connection", b"close")
 
 
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -97,7 +97,7 @@
         return self.positions.count > 0
 
     def reserve_engine(self, upstream: RoutedUpstream) -> None:
-        """Count the generation in an engine's load."""
+        """Count the generation in an engine's load and rate limit."""
         self.upstream = upstream
         self.load = UpstreamLoad(
             running=1,
@@ -107,6 +107,7 @@
         )
         self.node.fleet_loads.add(upstream.identifier, self.load)
         self.node.load_changed.set()
+        limits.note_sent(self.node, upstream.identifier)
         now_s = self.node.now_s()
         load = self.node.fleet_loads.load_of(upstream.identifier, now_s)
         self.unread_tokens_at_start = load.unread_tokens
@@ -246,7 +247,6 @@
                 extra,
             )
         )
-        limits.note_sent(self.node, upstream.identifier)
         try:
             head = await connection.read_head()
         except CutShortError as error:
@@ -406,6 +406,7 @@
                 upstream.address, CONNECT_TIMEOUT_S
             )
         self.connection = connection
+        limits.note_sent(self.node, upstream.identifier)
         dialect = self.node.dialect
         extra = [
             (dialect.continue_from, continuation.value),
--- a/src/plantainsail/entry/limits.py
+++ b/src/plantainsail/entry/limits.py
@@ -14,6 +14,7 @@
 from plantainsail.upstreams.single_use import AnswerHead
 
 MAX_LIMITS_PER_MESSAGE = 24
+MAX_LOGGED_BYTES = 32
 
 
 def note_sent(node: EntryNode, identifier: str) -> None:
@@ -29,8 +30,16 @@
     An answer without the upstream's signature lifts no limit, since
     something on the way may have made it.
     """
-    per_s = parse_decimal(head.get(node.dialect.rate_limit))
-    if per_s is None and head.get(node.dialect.signature) is None:
+    value = head.get(node.dialect.rate_limit)
+    if value is None and head.get(node.dialect.signature) is None:
+        return
+    per_s = parse_decimal(value)
+    if value is not None and per_s is None:
+        node.log.info(
+            "upstream limit unreadable",
+            upstream=identifier,
+            value=value[:MAX_LOGGED_BYTES].decode("latin-1"),
+        )
         return
     now_s = node.now_s()
     if not node.rate_limits.note_answer(identifier, per_s, now_s):
@@ -105,5 +114,4 @@
         limit=per_s,
         origin=origin,
     )
-    in_force = node.rate_limits.in_force(node.now_s())
-    node.metrics.limited_upstreams.set(len(in_force))
+    node.update_gauges()
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -149,6 +149,14 @@
         self.avoidance.note_ended(identifier, self.now_s())
         self.engine_state_changed.set()
 
+    def update_gauges(self) -> None:
+        """Show how many parts are refused and upstreams limited."""
+        now_s = self.now_s()
+        quarantined = self.quarantine.quarantined(now_s)
+        self.metrics.quarantined_parts.set(len(quarantined))
+        limited = self.rate_limits.in_force(now_s)
+        self.metrics.limited_upstreams.set(len(limited))
+
     def forget_gone_engines(self) -> None:
         """Drop what was measured about engines that are gone."""
         identifiers = (
@@ -163,6 +171,7 @@
         self.read_rates.forget_except(set(identifiers))
         self.avoidance.forget_except(set(identifiers))
         self.rate_limits.forget_except(set(identifiers))
+        self.update_gauges()
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits on callers' requests now in force."""
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -27,6 +27,7 @@
 from plantainsail.routing.model import RequestKind, RoutedUpstream
 from plantainsail.routing.placement import PlainView, choose_plain
 from plantainsail.upstreams.single_use import (
+    CONNECT_PROBLEMS,
     ConnectError,
     ConnectProblem,
     CutShortError,
@@ -115,7 +116,7 @@
         return not is_idempotent or attempts >= request.route.max_attempts
 
     def _may_retry(self, request: RoutedRequest, last: SendResult) -> bool:
-        if last.reason in list(ConnectProblem):
+        if last.reason in CONNECT_PROBLEMS:
             return True
         node = self.node
         budget = node.repeat_budget(request.service.name)
@@ -134,11 +135,12 @@
         result: SendResult,
     ) -> None:
         """Record whether the request may have crashed the upstream."""
-        if result.outcome is SendOutcome.ANSWERED:
+        is_answered = result.outcome is SendOutcome.ANSWERED
+        if is_answered and not result.ends_with_connection:
             if self.node.quarantine.has_records(parts):
                 suspects.record_sound_run(self.node, parts, started_s)
             return
-        if result.reason != CUT_SHORT:
+        if not is_answered and result.reason != CUT_SHORT:
             return
         ended_s = self.node.now_s()
         self.death_checks.start(
@@ -220,6 +222,7 @@
         node.fleet_loads.add_short_lived(
             upstream.identifier, ONE_RUNNING_REQUEST
         )
+        limits.note_sent(node, upstream.identifier)
         try:
             async with asyncio.timeout(max(0.0, timeout_s)):
                 result = await self._exchange(request, upstream)
@@ -258,7 +261,6 @@
                     [],
                 )
             )
-            limits.note_sent(node, upstream.identifier)
             head = await connection.read_head()
             limits.note_answer(node, upstream.identifier, head)
             body = await connection.read_body(MAX_ANSWER_BYTES)
--- a/src/plantainsail/entry/send_results.py
+++ b/src/plantainsail/entry/send_results.py
@@ -38,6 +38,12 @@
     reason: str = ""
     named_limit: float | None = None
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether a crash may have ended the answer unseen."""
+        head = AnswerHead(self.status, self.headers)
+        return head.ends_with_connection
+
 
 def classify_answer(
     head: AnswerHead, body: bytes, request: RoutedRequest, node: EntryNode
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -27,6 +27,7 @@
 from plantainsail.routing.registry import Departure
 from plantainsail.routing.urgency import make_claim
 from plantainsail.upstreams.single_use import (
+    CONNECT_PROBLEMS,
     AnswerHead,
     ConnectProblem,
     CutShortError,
@@ -245,7 +246,7 @@
             or self._remaining_s(request) <= 0
         ):
             return False
-        if reason in list(ConnectProblem):
+        if reason in CONNECT_PROBLEMS:
             return True
         node = self.node
         budget = node.repeat_budget(request.service.name)
--- a/src/plantainsail/entry/suspects.py
+++ b/src/plantainsail/entry/suspects.py
@@ -10,6 +10,7 @@
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.policy.part_quarantine import (
     MAX_DEATHS,
+    NEVER_S,
     QUARANTINE_LIFETIME_S,
     EngineDeath,
     PartRecord,
@@ -56,7 +57,7 @@
     if not cleared:
         return
     node.log.info("suspects cleared", parts=cleared)
-    _update_gauge(node)
+    node.update_gauges()
     node.announcements_pending.set()
 
 
@@ -93,12 +94,7 @@
         deaths=[death.upstream for death in record.deaths],
         origin=origin,
     )
-    _update_gauge(node)
-
-
-def _update_gauge(node: EntryNode) -> None:
-    quarantined = node.quarantine.quarantined(node.now_s())
-    node.metrics.quarantined_parts.set(len(quarantined))
+    node.update_gauges()
 
 
 def make_messages(
@@ -134,7 +130,7 @@
             )
         )
     sound_age_ms: int | None = None
-    if record.sound_s > 0:
+    if record.sound_s != NEVER_S:
         sound_age_ms = _age_ms(record.sound_s, now_s)
     return SuspectPartEntry(record.part, tuple(entries), sound_age_ms)
 
--- a/src/plantainsail/policy/part_quarantine.py
+++ b/src/plantainsail/policy/part_quarantine.py
@@ -214,7 +214,8 @@
         """
         records = self.quarantined(now_s)
         for record in reversed(self.records.values()):
-            if now_s - record.last_change_s > MAX_REPEATED_AGE_S:
+            is_old = now_s - record.last_change_s > MAX_REPEATED_AGE_S
+            if is_old or len(records) >= most:
                 break
             if record not in records:
                 records.append(record)
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -19,6 +19,7 @@
 CLOSED_EARLY = "connection closed early"
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_ANSWERS = 16
+BODILESS_STATUSES = frozenset({204, 304})
 # TCP keepalive probes detect a peer that vanished without closing.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
@@ -61,6 +62,8 @@
         Such a body ends where its connection does, also where the
         upstream's process ends.
         """
+        if self.status in BODILESS_STATUSES:
+            return False
         if self.get(b"content-length") is not None:
             return False
         return self.get(b"transfer-encoding") is None
@@ -73,6 +76,9 @@
     UNREACHABLE = "unreachable"
 
 
+CONNECT_PROBLEMS = frozenset(ConnectProblem)
+
+
 class ConnectError(ConnectionError):
     """The upstream can't be reached, so nothing was sent."""
 
--- a/tests/standins/crashing.py
+++ b/tests/standins/crashing.py
@@ -166,7 +166,7 @@
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
         is_stream = request.target.startswith("/stream/")
-        if is_stream:
+        if is_stream or self.is_unframed:
             writer.write(UNFRAMED_HEAD if self.is_unframed else STREAM_HEAD)
             await writer.drain()
         parts = request.headers.get(PARTS, "").split(",")
@@ -176,8 +176,9 @@
             await self._crash(name, writer)
             return
         if not is_stream:
-            writer.write(answer())
+            writer.write(b"done" if self.is_unframed else answer())
             await writer.drain()
+            writer.close()
             return
         for number in range(EVENTS):
             writer.write(chunk(event(number)))
--- a/tests/test_plain_quarantine.py
+++ b/tests/test_plain_quarantine.py
@@ -47,3 +47,15 @@
     assert answer.status == 502
     assert answer.headers["plantainsail-outcome"] == "unknown"
     assert fleet.crashes <= MAX_CRASHES
+
+
+async def test_a_crash_that_ends_an_unframed_answer_counts(
+    fleet: CrashingFleet,
+) -> None:
+    """Such an answer seems whole, though the upstream crashed."""
+    fleet.is_unframed = True
+    for turn in range(8):
+        await fleet.read(CRASHING_BODY, turn % 2)
+        await fleet.settle()
+    assert fleet.crashes <= MAX_CRASHES
+    assert (await fleet.read(b"sound", 0)).body == b"done"
--- a/tests/test_upstream_rate_limits.py
+++ b/tests/test_upstream_rate_limits.py
@@ -203,3 +203,16 @@
         assert (await caller.call("/stream/x", headers)).is_whole
     assert len(limited.received_requests) <= MAX_IN_WINDOW
     assert len(free.received_requests) >= REQUESTS - MAX_IN_WINDOW
+
+
+async def test_a_malformed_limit_changes_nothing(fleet: LimitedFleet) -> None:
+    await call_often(fleet)
+    limited, free = fleet.upstreams
+    await until(lambda: fleet.daemons_that_know(limited) == DAEMONS)
+    free.stop()
+    limited.serve = respond_with(
+        answer(extra=b"plantainsail-rate-limit: few\r\n")
+    )
+    await fleet.advance(WINDOW_S)
+    assert (await call(fleet, 0)).status == 200
+    assert fleet.daemons_that_know(limited) == DAEMONS
