Fall back to single heartbeats when a long call ends while written

test_peer_without_long_calls_gets_single_calls failed once of six runs of make test today, in the first heartbeat, with INTERNAL. Traced: a peer without the call answers UNIMPLEMENTED; if that comes while the first message is written, gRPC fails the write and sets INTERNAL as the call's status, so the heartbeat failed instead of going out as a single call. Both codes lead to a single call now; only UNIMPLEMENTED is remembered. The new test fails on the code before.

--- a/src/plantainsail/peers/links.py
+++ b/src/plantainsail/peers/links.py
@@ -46,6 +46,13 @@
 )
 
 
+# A peer without the call answers the first code.  If its answer comes
+# while the first message is written, gRPC reports the second one.
+NO_EXCHANGE_CODES = frozenset(
+    {grpc.StatusCode.UNIMPLEMENTED, grpc.StatusCode.INTERNAL}
+)
+
+
 class PeerLink:
     """The current connection to one peer.
 
@@ -67,12 +74,14 @@
         The heartbeat is sent on the long `Exchange` call, or by a
         `Heartbeat` call if the peer's older version lacks `Exchange`.
         """
-        if not self.lacks_exchange_call:
+        is_lacking = self.lacks_exchange_call
+        if not is_lacking:
             try:
                 return await self._open_stream().exchange(message)
             except grpc.RpcError as error:
-                if error.code() is not grpc.StatusCode.UNIMPLEMENTED:
+                if error.code() not in NO_EXCHANGE_CODES:
                     raise
+                is_lacking = error.code() is grpc.StatusCode.UNIMPLEMENTED
         try:
             reply: HeartbeatMessage = await self.stub.Heartbeat(
                 message, timeout=CALL_DEADLINE_S
@@ -81,7 +90,7 @@
             # The peer may come back with a version that has `Exchange`.
             self.lacks_exchange_call = False
             raise
-        self.lacks_exchange_call = True
+        self.lacks_exchange_call = is_lacking
         return reply
 
     async def close(self, grace_s: float | None) -> None:
--- a/tests/test_peers_exchange.py
+++ b/tests/test_peers_exchange.py
@@ -18,6 +18,7 @@
 from plantainsail.peers.exchange_stream import (
     ExchangeStream,
     HeartbeatCompressor,
+    call_error,
 )
 from plantainsail.peers.fleet_service import FleetService, PartSource
 from plantainsail.peers.links import PeerLinks
@@ -156,6 +157,32 @@
     await links.close()
 
 
+class FailingStream:
+    """A long call that ends while its first message is written."""
+
+    is_open = True
+
+    async def exchange(self, _: HeartbeatMessage) -> HeartbeatMessage:
+        raise call_error(grpc.StatusCode.INTERNAL, "Internal error from Core")
+
+
+async def test_a_long_call_that_ends_while_written_is_a_single_call(
+    peer: ServePeer,
+) -> None:
+    """GRPC then reports an internal error in place of UNIMPLEMENTED."""
+    _, echo, address = await peer(OlderService)
+    links = PeerLinks()
+    link = links._link(address)
+    link.stream = FailingStream()  # type: ignore[assignment]
+    assert await links.heartbeat(address, heartbeat(0)) == heartbeat(0)
+    assert not link.lacks_exchange_call
+    link.stream = None
+    assert await links.heartbeat(address, heartbeat(1)) == heartbeat(1)
+    assert link.lacks_exchange_call
+    assert len(echo.received_messages) == 2
+    await links.close()
+
+
 async def test_exchange_fails_when_the_peer_stops_at_once(
     peer: ServePeer,
 ) -> None:
