--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -252,7 +252,7 @@
     assert is_refused(quarantine, "bad", 4.0)
 
 
-# The users accept that so many of the subjects asked for are not served.
+# The users accept that this share of subjects is never served.
 MAX_STARVED_TOPICS = 0.04
 
 
