Tidy after a last reading: one job for deaths.py, true docstrings

A record from a peer is built in one step, the seven fields of a broken run are named, and a chained comparison is written out.

--- a/src/plantainsail/entry/announcements.py
+++ b/src/plantainsail/entry/announcements.py
@@ -11,7 +11,6 @@
 
 from plantainsail.entry import limits, suspects
 from plantainsail.entry.node import EntryNode
-from plantainsail.entry.suspects import MAX_PARTS_PER_MESSAGE
 from plantainsail.routing.messages import RateLimitReport, SuspectParts
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -58,7 +57,7 @@
         """Return messages on what any daemon must know now."""
         node = self.node
         records = node.quarantine.records_to_repeat(
-            node.now_s(), MAX_PARTS_PER_MESSAGE
+            node.now_s(), suspects.MAX_PARTS_PER_MESSAGE
         )
         limited = node.rate_limits.in_force(node.now_s())
         return _encode(
--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/entry/deaths.py
@@ -1,8 +1,5 @@
-"""Checks whether upstreams died, and identifies repeated requests."""
+"""Checks whether upstreams accept connections."""
 
-import xxhash
-
-from plantainsail.entry.request import RoutedRequest
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.upstreams.single_use import (
     ConnectError,
@@ -12,21 +9,6 @@
 PROBE_TIMEOUT_S = 0.3
 
 
-def fingerprint_of(request: RoutedRequest) -> int:
-    """Return a hash that stays the same when a request is repeated.
-
-    It covers the organisation, the target and the body, but no other
-    headers.
-    """
-    digest = xxhash.xxh3_64()
-    organisation = request.organisation
-    digest.update(b"" if organisation is None else organisation.name.encode())
-    digest.update(b"\0" + request.caller.target + b"\0")
-    digest.update(request.body)
-    # The shift makes the hash fit the signed integers of messages.
-    return digest.intdigest() >> 1
-
-
 async def has_process_ended(upstream: RoutedUpstream) -> bool:
     """Return whether an upstream's process has surely ended.
 
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -183,13 +183,13 @@
         assert generation.upstream is not None
         self.death_checks.start(
             BrokenRun(
-                generation.request.identifier,
-                generation.upstream,
-                generation.parts,
-                generation.placed_s,
-                self.node.now_s(),
-                generation.has_head,
-                generation.is_proven_sound,
+                request=generation.request.identifier,
+                upstream=generation.upstream,
+                parts=generation.parts,
+                started_s=generation.placed_s,
+                ended_s=self.node.now_s(),
+                had_begun=generation.has_head,
+                was_sound=generation.is_proven_sound,
             )
         )
 
--- a/src/plantainsail/entry/suspects.py
+++ b/src/plantainsail/entry/suspects.py
@@ -4,7 +4,8 @@
 requests are refused.
 """
 
-from plantainsail.entry import deaths
+import xxhash
+
 from plantainsail.entry.dialect import Dialect, parse_prompt_parts
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.request import RoutedRequest
@@ -30,13 +31,27 @@
     These are the request as a whole, and the parts of its prompt that
     other requests may share.
     """
-    parts = [f"request:{deaths.fingerprint_of(request):x}"]
+    parts = [f"request:{_fingerprint_of(request):x}"]
     header = request.caller.get(dialect.prompt_parts)
     for name in parse_prompt_parts(header):
         parts.append(f"part:{name}")
     return tuple(parts)
 
 
+def _fingerprint_of(request: RoutedRequest) -> int:
+    """Return a hash that stays the same when a request is repeated.
+
+    It covers the organisation, the target and the body, but no other
+    headers.
+    """
+    digest = xxhash.xxh3_64()
+    organisation = request.organisation
+    digest.update(b"" if organisation is None else organisation.name.encode())
+    digest.update(b"\0" + request.caller.target + b"\0")
+    digest.update(request.body)
+    return digest.intdigest()
+
+
 def record_death(
     node: EntryNode, parts: tuple[str, ...], death: EngineDeath
 ) -> None:
@@ -137,9 +152,9 @@
 
 
 def _record_of(entry: SuspectPartEntry, now_s: float) -> PartRecord:
-    record = PartRecord(entry.part)
+    sound_s = NEVER_S
     if entry.sound_age_ms is not None:
-        record = record._replace(sound_s=now_s - entry.sound_age_ms / 1000)
+        sound_s = now_s - entry.sound_age_ms / 1000
     engine_deaths: list[EngineDeath] = []
     for death in entry.deaths[:MAX_DEATHS]:
         engine_deaths.append(
@@ -150,7 +165,7 @@
                 death.had_begun,
             )
         )
-    return record._replace(deaths=tuple(engine_deaths))
+    return PartRecord(entry.part, tuple(engine_deaths), sound_s)
 
 
 def _age_ms(at_s: float, now_s: float) -> int:
--- a/src/plantainsail/policy/part_quarantine.py
+++ b/src/plantainsail/policy/part_quarantine.py
@@ -298,7 +298,7 @@
         if is_local:
             self.unsent.add(news.part)
         sound_s = self.sound_s.get(news.part, NEVER_S)
-        if merged.sound_s == NEVER_S != sound_s:
+        if merged.sound_s == NEVER_S and sound_s != NEVER_S:
             # Peers may not have seen the part in a sound answer.
             merged = merge_records(merged, PartRecord(news.part, (), sound_s))
             self.unsent.add(news.part)
--- a/src/plantainsail/routing/avoidance.py
+++ b/src/plantainsail/routing/avoidance.py
@@ -28,7 +28,8 @@
 
     Cuts seen by this daemon and reports of its peers both count.
     `cuts` holds the times of the recent cuts of each engine, and
-    `seen_locally` the engines that cut a stream of this daemon.
+    `seen_locally` the engines that cut a stream of this daemon or that
+    it found to have no process.
     """
 
     def __init__(self) -> None:
@@ -69,7 +70,7 @@
     def local_remaining_s(self, now_s: float) -> dict[str, float]:
         """Return how long engines are still avoided, for peers.
 
-        Only engines that cut a stream of this daemon are included.
+        Only the engines of `seen_locally` are included.
         """
         remaining: dict[str, float] = {}
         for identifier in list(self.seen_locally):
--- a/src/plantainsail/routing/messages.py
+++ b/src/plantainsail/routing/messages.py
@@ -41,7 +41,7 @@
 
 
 class AvoidedEntry(NamedTuple):
-    """An engine that cut streams, and how long it is still avoided."""
+    """An engine that is avoided, and for how long still."""
 
     identifier: str
     for_ms: int
