--- a/src/plantainsail/entry/death_checks.py
+++ b/src/plantainsail/entry/death_checks.py
@@ -60,6 +60,7 @@
             request=run.request,
             upstream=upstream.identifier,
             parts=run.parts,
+            ran_ms=int((run.ended_s - run.started_s) * 1000),
             had_begun=run.had_begun,
             was_sound=run.was_sound,
         )
--- a/src/plantainsail/entry/failures.py
+++ b/src/plantainsail/entry/failures.py
@@ -11,9 +11,11 @@
     """Count and log a failure with its configuration."""
     code = Code(failure.code)
     node.metrics.refusals.labels(code.name.lower()).inc()
+    organisation = request.organisation
     node.log.info(
         "request failed",
         request=request.identifier,
+        organisation=None if organisation is None else organisation.name,
         code=int(code),
         reason=failure.detail,
         kind=request.route.kind.value,
