Count each death under the copies of one whole request

Deaths are counted in sequence because an availability zone that fails takes many engines under a part that many requests share. That reason does not hold for a request as a whole that was never answered: three deaths now suffice, in any order. A request that was answered before still needs deaths in sequence, as many callers may send it.

--- a/src/plantainsail/entry/suspects.py
+++ b/src/plantainsail/entry/suspects.py
@@ -14,6 +14,7 @@
     NEVER_S,
     EngineDeath,
     PartRecord,
+    whole_request_part,
 )
 from plantainsail.results import Code, Failure
 from plantainsail.routing.messages import (
@@ -31,7 +32,7 @@
     These are the request as a whole, and the parts of its prompt that
     other requests may share.
     """
-    parts = [f"request:{_fingerprint_of(request):x}"]
+    parts = [whole_request_part(_fingerprint_of(request))]
     header = request.caller.get(dialect.prompt_parts)
     for name in parse_prompt_parts(header):
         parts.append(f"part:{name}")
--- a/src/plantainsail/policy/part_quarantine.py
+++ b/src/plantainsail/policy/part_quarantine.py
@@ -27,6 +27,10 @@
 QUARANTINE_DEATHS = 2
 UNBEGUN_QUARANTINE_DEATHS = 3
 PROVEN_QUARANTINE_DEATHS = 4
+# Copies of one whole request are at this many engines at the same time
+# only if its callers repeat it, so these deaths need no sequence.
+COPIES_QUARANTINE_DEATHS = 3
+WHOLE_REQUEST_PREFIX = "request:"
 MAX_SOUND_PARTS = 4_096
 # Daemons note the same death of an engine at slightly different times;
 # an engine takes longer than this to be back.
@@ -49,6 +53,11 @@
 SOUND_RUN_S = 1.0
 
 
+def whole_request_part(fingerprint: int) -> str:
+    """Return the part that stands for a request as a whole."""
+    return f"{WHOLE_REQUEST_PREFIX}{fingerprint:x}"
+
+
 class EngineDeath(NamedTuple):
     """The death of an engine while it ran a request with a part.
 
@@ -83,6 +92,11 @@
     deaths: tuple[EngineDeath, ...] = ()
     sound_s: float = NEVER_S
 
+    @property
+    def is_whole_request(self) -> bool:
+        """Return whether the part stands for a request as a whole."""
+        return self.part.startswith(WHOLE_REQUEST_PREFIX)
+
     @property
     def last_change_s(self) -> float:
         """Return the time of the last death or sound answer."""
@@ -113,6 +127,8 @@
         if count >= UNBEGUN_QUARANTINE_DEATHS:
             return True
         begun = [death for death in self.deaths if death.had_begun]
+        if self.is_whole_request and len(begun) >= COPIES_QUARANTINE_DEATHS:
+            return True
         return deaths_in_sequence(begun) >= QUARANTINE_DEATHS
 
 
--- a/tests/test_part_quarantine.py
+++ b/tests/test_part_quarantine.py
@@ -10,6 +10,7 @@
 import pytest
 
 from plantainsail.policy.part_quarantine import (
+    COPIES_QUARANTINE_DEATHS,
     MAX_RECORDS,
     PROVEN_QUARANTINE_DEATHS,
     QUARANTINE_LIFETIME_S,
@@ -89,6 +90,26 @@
     assert not is_refused(quarantine, "topic r2", 2.0)
 
 
+def test_a_request_whose_copies_end_three_engines_is_refused(
+    quarantine: PartQuarantine,
+) -> None:
+    for number in range(COPIES_QUARANTINE_DEATHS):
+        assert not is_refused(quarantine, "request:1", 2.0)
+        note(quarantine, "request:1 topic", number, 1.0 + number / 10)
+    assert is_refused(quarantine, "request:1 topic", 2.0)
+    assert not is_refused(quarantine, "request:2 topic", 2.0)
+
+
+def test_a_sound_request_may_be_at_many_engines_that_end_at_once(
+    quarantine: PartQuarantine,
+) -> None:
+    """Many callers may send the same sound request."""
+    quarantine.note_sound_run(("request:1",), 0.1, 0.2)
+    for number in range(4):
+        note(quarantine, "request:1", number, 1.0 + number / 10)
+    assert not is_refused(quarantine, "request:1", 2.0)
+
+
 def test_requests_that_may_be_either_cause_are_tried(
     quarantine: PartQuarantine,
 ) -> None:
