Quarantine calls that crash plain services in the other daemon

The check for a dead upstream, which both daemons need, moves from entry/deaths.py to upstreams/probe.py. The import inside a function of runtime/tickets.py had no reason any more.

--- a/src/plantainsail/entry/death_checks.py
+++ b/src/plantainsail/entry/death_checks.py
@@ -4,10 +4,10 @@
 from typing import NamedTuple
 
 from plantainsail.entry import suspects
-from plantainsail.entry.deaths import connect_error
 from plantainsail.entry.node import EntryNode
 from plantainsail.policy.part_quarantine import EngineDeath
 from plantainsail.routing.model import RoutedUpstream
+from plantainsail.upstreams.probe import connect_error
 
 
 class BrokenRun(NamedTuple):
@@ -48,7 +48,7 @@
 
     async def _record_if_dead(self, run: BrokenRun) -> None:
         upstream = run.upstream
-        error = await connect_error(upstream)
+        error = await connect_error(upstream.address)
         if error is None:
             return
         node = self.node
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -8,7 +8,7 @@
 import asyncio
 from typing import NamedTuple
 
-from plantainsail.entry import deaths, limits, suspects
+from plantainsail.entry import limits, suspects
 from plantainsail.entry.caller import remove_hop_by_hop
 from plantainsail.entry.dialect import parse_token_counts
 from plantainsail.entry.evacuation import (
@@ -32,6 +32,7 @@
 from plantainsail.routing.placement import GenerationNeed
 from plantainsail.routing.positions import EventContinuity, EventPositions
 from plantainsail.routing.urgency import stall_limit_s
+from plantainsail.upstreams.probe import has_process_ended
 from plantainsail.upstreams.single_use import (
     AnswerHead,
     ConnectError,
@@ -368,7 +369,7 @@
             if not is_refused or continuation.source is None:
                 return ResumedStream(continuation.upstream, head)
         except (ConnectError, GenerationLostError) as error:
-            has_ended = await deaths.has_process_ended(continuation.upstream)
+            has_ended = await has_process_ended(continuation.upstream.address)
             if continuation.source is None or not has_ended:
                 raise GenerationLostError(
                     "the copy can't be reached"
--- a/src/plantainsail/runtime/service_calls.py
+++ b/src/plantainsail/runtime/service_calls.py
@@ -19,6 +19,12 @@
     with_exact_outcome,
 )
 from plantainsail.results import Code, Failure
+from plantainsail.runtime.call_quarantine import (
+    CallRun,
+    find_quarantine_failure,
+    judge_run,
+    part_of_call,
+)
 from plantainsail.runtime.node_core import NodeCore
 from plantainsail.upstreams.protocols import ServiceAnswer, ServiceCall
 
@@ -39,6 +45,13 @@
         """Return the operation's full name."""
         return f"{self.service}/{self.operation}"
 
+    @property
+    def part(self) -> str:
+        """Return what describes the call in the quarantine."""
+        return part_of_call(
+            self.organisation, self.service, self.operation, self.body
+        )
+
 
 def ready_replicas(node: NodeCore, service: str) -> list[HostEntry]:
     """Return the replicas of a service that accept new work."""
@@ -57,7 +70,11 @@
     used_hosts: list[str] = []
     node.retries.note_first_attempt(read.organisation, node.now_s())
     node.hedges.record_read()
+    part = read.part
     while True:
+        quarantined = find_quarantine_failure(node, part)
+        if quarantined is not None:
+            return Error(with_exact_outcome(quarantined, failures))
         replica = _choose_replica(node, read.service, used_hosts)
         if replica is None:
             return Error(
@@ -170,7 +187,9 @@
     if failure is not None:
         return Error(failure)
     remaining_s = max(0.0, read.deadline_s - node.now_s())
+    run = CallRun(read.part, replica, node.now_s())
     answer = await node.services.call(replica, call, remaining_s)
+    judge_run(node, run, answer)
     if answer.is_error() and answer.error.code is Code.UPSTREAM_DRAINING:
         node.marks.mark_draining(replica, node.now_s())
     return answer
--- a/src/plantainsail/runtime/tickets.py
+++ b/src/plantainsail/runtime/tickets.py
@@ -10,7 +10,14 @@
 from plantainsail.peers.wire import tickets_pb2
 from plantainsail.policy.retries import WorkKind, may_retry
 from plantainsail.results import Code, Failure
+from plantainsail.runtime.call_quarantine import (
+    CallRun,
+    find_quarantine_failure,
+    judge_run,
+    part_of_call,
+)
 from plantainsail.runtime.node_core import NodeCore
+from plantainsail.runtime.service_calls import ready_replicas
 from plantainsail.runtime.ticket_links import TicketLinks
 from plantainsail.runtime.ticket_mint import TicketMint
 from plantainsail.tickets.book import BookLimits, PeriodClock
@@ -61,6 +68,13 @@
         """Return the hash that binds the ticket to this call."""
         return hash_work(self.service, self.operation, self.body)
 
+    @property
+    def part(self) -> str:
+        """Return what describes the call in the quarantine."""
+        return part_of_call(
+            self.ticket.organisation, self.service, self.operation, self.body
+        )
+
 
 class TicketRuntime:
     """Holds a daemon's executor and witness and runs its calls."""
@@ -164,13 +178,9 @@
             return Failure(
                 Code.NO_UPSTREAM, f"no replica of {call.service} is ready", 1.0
             )
-        return None
-
-    def _ready_replicas(self, service: str) -> "list[HostEntry]":
-        # Imported here, as service_calls imports the node, which
-        # imports this module.
-        from plantainsail.runtime.service_calls import ready_replicas
+        return find_quarantine_failure(node, call.part)
 
+    def _ready_replicas(self, service: str) -> list[HostEntry]:
         return ready_replicas(self.node, service)
 
     def _start(self, call: TicketedCall) -> None:
@@ -250,6 +260,7 @@
         """Send a call; return whether the upstream may have run it."""
         ticket = call.ticket
         self.executor.mark_sent(ticket)
+        run = CallRun(call.part, replica, self.node.now_s())
         answer = await self.node.services.call(
             replica,
             ServiceCall(
@@ -261,6 +272,7 @@
             ),
             call.deadline_s - self.node.now_s(),
         )
+        judge_run(self.node, run, answer)
         if answer.is_error() and answer.error.code == Code.UPSTREAM_DRAINING:
             self.node.marks.mark_draining(replica, self.node.now_s())
         if answer.is_ok():
--- a/src/plantainsail/entry/deaths.py
+++ b/src/plantainsail/upstreams/probe.py
@@ -1,6 +1,5 @@
 """Checks whether upstreams accept connections."""
 
-from plantainsail.routing.model import RoutedUpstream
 from plantainsail.upstreams.single_use import (
     ConnectError,
     SingleUseConnection,
@@ -9,22 +8,20 @@
 PROBE_TIMEOUT_S = 0.3
 
 
-async def has_process_ended(upstream: RoutedUpstream) -> bool:
+async def has_process_ended(address: str) -> bool:
     """Return whether an upstream's process has surely ended.
 
     Only a refused connection shows this: an upstream that doesn't
     answer may be cut off by the network and still run.
     """
-    error = await connect_error(upstream)
+    error = await connect_error(address)
     return error is not None and error.is_refused
 
 
-async def connect_error(upstream: RoutedUpstream) -> ConnectError | None:
+async def connect_error(address: str) -> ConnectError | None:
     """Return why an upstream accepts no connection, None if it does."""
     try:
-        connection = await SingleUseConnection.open(
-            upstream.address, PROBE_TIMEOUT_S
-        )
+        connection = await SingleUseConnection.open(address, PROBE_TIMEOUT_S)
     except ConnectError as error:
         return error
     connection.abort()
--- a/tests/standins/raw_upstream.py
+++ b/tests/standins/raw_upstream.py
@@ -44,15 +44,20 @@
         self.released = asyncio.Event()
         self.requests: list[RawRequest] = []
         self.connections = 0
+        self.port = 0
         self.server: asyncio.Server | None = None
 
-    async def start(self) -> str:
-        """Listen and return `IP:port`."""
+    async def start(self, port: int = 0) -> str:
+        """Listen and return `IP:port`; port 0 takes a free one."""
         self.server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=2**20
+            self._serve, "127.0.0.1", port, limit=2**20
         )
-        port = self.server.sockets[0].getsockname()[1]
-        return f"127.0.0.1:{port}"
+        self.port = self.server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{self.port}"
+
+    async def restart(self) -> None:
+        """Listen again at the same address."""
+        await self.start(self.port)
 
     def stop(self) -> None:
         """Stop accepting connections."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,7 +12,6 @@
 from hypothesis import strategies as st
 
 from plantainsail.daemon import Daemon
-from plantainsail.identity import Incarnation
 from plantainsail.peers.suspect_section import REPEAT_AGE_S, SuspectSection
 from plantainsail.peers.wire.fleet_pb2 import HeartbeatMessage
 from plantainsail.policy.part_quarantine import EngineDeath, PartQuarantine
@@ -34,11 +33,11 @@
     start_daemon,
     start_fleet,
 )
+from tests.standins.suspects import PEER, carry_suspects
 
 CRASHING = 7
 # From the fifth death on, no further request may reach an engine.
 MAX_DEATHS = 5
-PEER = Incarnation("127.0.0.1:1", 1)
 WORK = Work("req-1", "desk", "large", "m", 1, 1, 1, 0.0, 9.0)
 
 
@@ -266,15 +265,3 @@
     code = json.loads(answer.body)["error"]["code"]
     assert isinstance(code, str)
     return code
-
-
-async def carry_suspects(sender: Daemon, receiver: Daemon) -> None:
-    """Carry the heartbeat sections of suspects to another daemon."""
-    message = HeartbeatMessage()
-    now_s = sender.node.now_s()
-    for section in sender.node.sections:
-        if isinstance(section, SuspectSection):
-            section.fill(message, PEER, now_s)
-    for section in receiver.node.sections:
-        if isinstance(section, SuspectSection):
-            section.absorb(message, PEER, receiver.node.now_s())
