--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -13,6 +13,7 @@
 from plantainsail.entry.settings import EntryBounds, EntrySettings
 from plantainsail.entry.source import (
     Changes,
+    PublishedSource,
     PublishedUpstreams,
     SourceError,
     UpstreamChange,
@@ -254,7 +255,7 @@
 
 
 async def start_entry(
-    source: StandInSource,
+    source: PublishedSource,
     mover: EngineMover | None = None,
     *,
     peer_address: str | None = None,
