Order revisions across restorations of the configuration service

A service that comes back from an older copy gives its revisions out again. Daemons compared them as plain counts: a list, a change or a message of a peer from after the restoration was ignored as old until the count had passed the one before, so departures, new upstreams and routes were missed, and the adapter's cache by revision returned a lost configuration for another one, with a proof of its freshness.

A revision is one number now, with the epoch of the service above its count of changes, so all comparisons stay as they are, also in messages, whose form does not change. The adapter reads the epoch in every answer, refuses answers of an earlier one and reports the history as lost. A daemon whose entries are from before a restoration fetches a peer's at once, and upstreams that the copy lacks stay in use while they announce themselves again. The log names each restoration, a counter counts them.

--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -67,8 +67,10 @@
             try:
                 revision = await self._read_all()
                 await self._follow(revision)
-            except HistoryLostError:
-                self.node.log.info("watch history lost, reading all lists")
+            except HistoryLostError as error:
+                self.node.log.info(
+                    "watch history lost, reading all lists", reason=str(error)
+                )
                 await asyncio.sleep(self._next_back_off_s())
             except SourceError as error:
                 self._mark_service_lost(str(error))
@@ -124,12 +126,12 @@
     async def _read_all(self) -> int:
         published = await self.source.list_upstreams()
         await self._read_configuration()
-        now_s = self.node.now_s()
-        self._mark_service_regained(now_s)
-        departures = self.node.registry.replace(
-            published.upstreams, published.revision, now_s
-        )
-        self.node.record_departures(departures, "read")
+        self._mark_service_regained(self.node.now_s())
+        if self.node.replace_upstreams(
+            published.upstreams, published.revision, "read"
+        ):
+            # Peers that don't watch fetch the list at once.
+            self.announce()
         return published.revision
 
     async def _read_configuration(self) -> None:
--- a/src/plantainsail/entry/metrics.py
+++ b/src/plantainsail/entry/metrics.py
@@ -70,6 +70,11 @@
             "Version of the configuration in force.",
             registry=self.registry,
         )
+        self.restorations = Counter(
+            "plantainsail_entry_restorations",
+            "Restorations of the configuration service from a copy.",
+            registry=self.registry,
+        )
         self.peers = Gauge(
             "plantainsail_entry_peers",
             "Daemons that spoke a short time ago.",
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -15,7 +15,7 @@
 from plantainsail.routing.fleet_loads import FleetLoads
 from plantainsail.routing.in_force import ConfigurationInForce
 from plantainsail.routing.members import Members
-from plantainsail.routing.model import CallerLimits
+from plantainsail.routing.model import CallerLimits, RoutedUpstream
 from plantainsail.routing.pace import EnginePaces
 from plantainsail.routing.rate_limits import RateLimits
 from plantainsail.routing.reading import ReadRates
@@ -24,6 +24,7 @@
     DepartureNotice,
     UpstreamRegistry,
 )
+from plantainsail.routing.revisions import count_of, epoch_of, is_restored
 from plantainsail.runtime.running import RunningWork
 
 
@@ -96,6 +97,34 @@
             self.budgets[service] = budget
         return budget
 
+    def replace_upstreams(
+        self, upstreams: tuple[RoutedUpstream, ...], revision: int, origin: str
+    ) -> bool:
+        """Apply a list; return whether the service was restored.
+
+        `origin` is `read`, or the address of the peer that sent it.
+        """
+        before = self.registry.revision
+        departures = self.registry.replace(upstreams, revision, self.now_s())
+        was_restored = is_restored(before, self.registry.revision)
+        if was_restored:
+            self._record_restoration(before, origin)
+        self.record_departures(departures, origin)
+        return was_restored
+
+    def _record_restoration(self, before: int, origin: str) -> None:
+        revision = self.registry.revision
+        self.metrics.restorations.inc()
+        self.log.warning(
+            "configuration service restored",
+            epoch=epoch_of(revision),
+            revision=count_of(revision),
+            epoch_before=epoch_of(before),
+            revision_before=count_of(before),
+            version=self.in_force.version,
+            origin=origin,
+        )
+
     def record_departures(
         self, departures: list[Departure], origin: str
     ) -> None:
@@ -111,7 +140,8 @@
                 upstream=departure.upstream.identifier,
                 address=departure.upstream.address,
                 service=departure.upstream.service,
-                revision=self.registry.revision,
+                epoch=epoch_of(self.registry.revision),
+                revision=count_of(self.registry.revision),
                 origin=origin,
             )
         self.departures += departures
--- a/src/plantainsail/entry/snapshot.py
+++ b/src/plantainsail/entry/snapshot.py
@@ -92,10 +92,9 @@
             if snapshot.age_ms >= 0:
                 as_of_s = asked_s - snapshot.age_ms / 1000
             self.put_in_force(snapshot.configuration, as_of_s, address)
-        departures = self.node.registry.replace(
-            snapshot.upstreams, snapshot.revision, self.node.now_s()
+        self.node.replace_upstreams(
+            snapshot.upstreams, snapshot.revision, address
         )
-        self.node.record_departures(departures, address)
 
     async def _get(self, request: bytes, _: Any) -> bytes:
         node = self.node
--- a/src/plantainsail/entry/source.py
+++ b/src/plantainsail/entry/source.py
@@ -3,6 +3,9 @@
 The configuration consists of routes, services and organisations.  An
 adapter implements `PublishedSource` for its platform.  All calls raise
 `SourceError` if the source fails or gives a wrong answer.
+
+Revisions come from `routing.revisions`, so that they rise also where
+the source is restored from an older copy.
 """
 
 from typing import NamedTuple, Protocol
--- a/src/plantainsail/platform/calls.py
+++ b/src/plantainsail/platform/calls.py
@@ -8,8 +8,10 @@
 from plantainsail.upstreams.single_use import (
     ConnectError,
     CutShortError,
+    Headers,
     OutgoingRequest,
     SingleUseConnection,
+    first_value,
 )
 
 CONNECT_TIMEOUT_S = 0.5
@@ -23,10 +25,18 @@
 
 
 class CallAnswer(NamedTuple):
-    """Status and decoded body; a body that isn't JSON is None."""
+    """Status, decoded body and headers, whose names are in lower case.
+
+    A body that isn't JSON is None.
+    """
 
     status: int
     body: Any
+    headers: Headers = []
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of a header."""
+        return first_value(self.headers, name)
 
 
 async def call(
@@ -64,7 +74,7 @@
         answer = await connection.read_body(MAX_ANSWER_BYTES)
     finally:
         connection.abort()
-    return CallAnswer(head.status, _json_or_none(answer))
+    return CallAnswer(head.status, _json_or_none(answer), head.headers)
 
 
 def _json_or_none(data: bytes) -> Any:
--- a/src/plantainsail/platform/store.py
+++ b/src/plantainsail/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import binascii
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import quote
 
 from plantainsail.entry.source import (
@@ -20,9 +20,12 @@
     decode_upstream,
 )
 from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
+from plantainsail.routing.revisions import count_of, epoch_of, make_revision
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
+# The platform calls the epoch an era.
+EPOCH_HEADER = b"store-era"
 READ_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 1.5
 HTTP_OK = 200
@@ -30,12 +33,25 @@
 HTTP_GONE = 410
 
 
+class StoreAnswer(NamedTuple):
+    """An answer of the store, and the epoch in which it was given.
+
+    The epoch rises by one each time the store is restored from a copy.
+    """
+
+    status: int
+    body: Any
+    epoch: int
+
+
 class PlatformStore:
     """Reads configuration and upstreams from the store."""
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.log = get_logger("store")
+        # The newest epoch in an answer; 0 for a store that names none.
+        self.epoch = 0
         # Caches the last decoded configuration, because most reads
         # return the same revision again.
         self.last_revision: int | None = None
@@ -47,7 +63,7 @@
         answer = await self._get(target, READ_TIMEOUT_S)
         if answer.status == HTTP_NOT_FOUND:
             return None
-        return self._configuration(_checked_body(answer))
+        return self._configuration(_checked_body(answer), answer.epoch)
 
     async def list_upstreams(self) -> PublishedUpstreams:
         """Read all upstreams page by page.
@@ -63,10 +79,13 @@
             target = f"/plantainsail/kv-range?PathPrefix={UPSTREAM_PREFIX}"
             if after:
                 target += f"&After={quote(after)}"
-            page = _checked_body(await self._get(target, READ_TIMEOUT_S))
+            answer = await self._get(target, READ_TIMEOUT_S)
+            page = _checked_body(answer)
             entries = page["Entries"]
             if revision is None:
-                revision = int(page["At"])
+                revision = make_revision(answer.epoch, int(page["At"]))
+            if answer.epoch != epoch_of(revision):
+                raise HistoryLostError("restored between two pages")
             for item in entries:
                 upstream = self._upstream(item)
                 if upstream is not None:
@@ -76,38 +95,68 @@
             after = entries[-1]["Key"]
 
     async def wait_for_changes(self, after: int, wait_s: float) -> Changes:
-        """Wait for changes after a revision and return them."""
+        """Wait for changes after a revision and return them.
+
+        The history of an earlier epoch is lost, also where the store
+        has given the same revision out again.
+        """
+        epoch = epoch_of(after)
+        if self.epoch > epoch:
+            raise HistoryLostError("restored before the watch")
         wait_ms = int(wait_s * 1000)
         target = (
             "/plantainsail/kv-watch?PathPrefix="
-            f"&After={after}&WaitTimeoutMs={wait_ms}"
+            f"&After={count_of(after)}&WaitTimeoutMs={wait_ms}"
         )
         answer = await self._get(target, wait_s + WATCH_MARGIN_S)
-        if answer.status == HTTP_GONE:
-            raise HistoryLostError
+        if answer.epoch > epoch or answer.status == HTTP_GONE:
+            raise HistoryLostError("not in the store's history")
         body = _checked_body(answer)
         configurations: list[RoutingConfiguration] = []
         upstreams: list[UpstreamChange] = []
         for event in body["events"]:
             key = str(event["Key"])
             if key == CONFIGURATION_KEY and not event.get("Deleted"):
-                configuration = self._configuration(event)
+                configuration = self._configuration(event, epoch)
                 if configuration is not None:
                     configurations.append(configuration)
             if key.startswith(UPSTREAM_PREFIX):
-                upstreams.append(self._change(event))
+                upstreams.append(self._change(event, epoch))
         return Changes(
-            tuple(configurations), tuple(upstreams), int(body["At"])
+            tuple(configurations),
+            tuple(upstreams),
+            make_revision(epoch, int(body["At"])),
         )
 
-    async def _get(self, target: str, timeout_s: float) -> CallAnswer:
+    async def _get(self, target: str, timeout_s: float) -> StoreAnswer:
         try:
-            return await call(self.address, b"GET", target, timeout_s)
+            answer = await call(self.address, b"GET", target, timeout_s)
         except CallError as error:
             raise SourceError(str(error)) from error
+        return StoreAnswer(
+            answer.status, answer.body, self._epoch_of_answer(answer)
+        )
 
-    def _configuration(self, item: Any) -> RoutingConfiguration | None:
-        revision = int(item["Revision"])
+    def _epoch_of_answer(self, answer: CallAnswer) -> int:
+        """Return an answer's epoch, and remember the newest one.
+
+        Raises `SourceError` for an answer from before a restoration.
+        """
+        value = answer.get(EPOCH_HEADER)
+        if value is None:
+            return self.epoch
+        if not value.isdigit():
+            raise SourceError(f"epoch {value!r}")
+        epoch = int(value)
+        if epoch < self.epoch:
+            raise SourceError("answer from before a restoration")
+        self.epoch = epoch
+        return epoch
+
+    def _configuration(
+        self, item: Any, epoch: int
+    ) -> RoutingConfiguration | None:
+        revision = make_revision(epoch, int(item["Revision"]))
         if revision == self.last_revision:
             return self.last_configuration
         try:
@@ -128,15 +177,16 @@
             self.log.info("upstream entry unreadable", reason=str(error))
             return None
 
-    def _change(self, event: Any) -> UpstreamChange:
+    def _change(self, event: Any, epoch: int) -> UpstreamChange:
         identifier = str(event["Key"]).removeprefix(UPSTREAM_PREFIX)
         upstream = None
         if not event.get("Deleted"):
             upstream = self._upstream(event)
-        return UpstreamChange(identifier, upstream, int(event["Revision"]))
+        revision = make_revision(epoch, int(event["Revision"]))
+        return UpstreamChange(identifier, upstream, revision)
 
 
-def _checked_body(answer: CallAnswer) -> Any:
+def _checked_body(answer: StoreAnswer) -> Any:
     if answer.status != HTTP_OK or not isinstance(answer.body, dict):
         raise SourceError(f"status {answer.status}")
     return answer.body
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from plantainsail.routing.messages import Heartbeat
+from plantainsail.routing.revisions import is_restored
 
 # The shortest time between two heartbeats to the same peer.
 HEARTBEAT_S = 0.25
@@ -120,11 +121,14 @@
         compared with what the member had when the lag was first seen,
         so that lists which change all the time don't make a daemon
         that keeps up look stuck.  A daemon without any configuration
-        lags at once.
+        lags at once, as does one whose entries are from before a
+        restoration of the service.
         """
         ahead = self.ahead
         if version < 0 <= self.configuration_version:
             return True
+        if is_restored(revision, self.registry_revision):
+            return True
         if ahead is not None and version < ahead.version:
             return now_s - ahead.since_s >= CONFIGURATION_BEHIND_S
         if ahead is not None and revision < ahead.revision:
--- a/src/plantainsail/routing/registry.py
+++ b/src/plantainsail/routing/registry.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from plantainsail.routing.model import RoutedUpstream
+from plantainsail.routing.revisions import is_restored
 
 # Entries of upstreams that expired while the configuration service was
 # unreachable are missing as soon as it is back.  An entry removed more
@@ -92,6 +93,9 @@
         """Apply a complete list of entries; return new departures."""
         if revision < self.revision:
             return []
+        if is_restored(self.revision, revision):
+            # The copy lacks upstreams that announce themselves again.
+            self.service_regained_s = now_s
         listed = {upstream.identifier for upstream in upstreams}
         departures: list[Departure] = []
         for identifier in list(self.entries):
--- a/tests/standins/restorable_store.py
+++ b/tests/standins/restorable_store.py
@@ -48,8 +48,9 @@
 class RestorableStore:
     """Keeps items and their history, and serves reads and watches.
 
-    With `is_deaf` set, a watch that waits while the store is restored
-    is neither cut nor answered.
+    `waiting_watches` counts the watches that wait for a change.  With
+    `is_deaf` set, one that waits while the store is restored is neither
+    cut nor answered.
     """
 
     def __init__(self) -> None:
@@ -58,7 +59,7 @@
         self.revision = 100
         self.era = 1
         self.is_deaf = False
-        self.watches = 0
+        self.waiting_watches = 0
         self.changed = asyncio.Event()
         self.listener = StandInUpstream("store", self._serve)
 
@@ -130,7 +131,6 @@
 
     async def _watch(self, after: int) -> tuple[int, dict[str, Any]]:
         era = self.era
-        self.watches += 1
         if after > self.revision:
             return HISTORY_LOST, {}
         while True:
@@ -146,4 +146,8 @@
             if events:
                 return 200, {"events": events, "At": self.revision}
             self.changed.clear()
-            await self.changed.wait()
+            self.waiting_watches += 1
+            try:
+                await self.changed.wait()
+            finally:
+                self.waiting_watches -= 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,6 +25,7 @@
 from plantainsail.platform.settings import load_platform_settings
 from plantainsail.platform.store import PlatformStore
 from plantainsail.routing.model import RequestKind
+from plantainsail.routing.revisions import is_restored, make_revision
 from tests.standins.routed import (
     ReceivedRequest,
     StandInUpstream,
@@ -197,6 +198,8 @@
 
     def __init__(self) -> None:
         self.answers: dict[str, list[tuple[int, Any]]] = {}
+        # The epochs to name in the next answers, if any.
+        self.epochs: list[int] = []
         self.calls: list[tuple[str, str, dict[str, list[str]]]] = []
         self.bodies: list[Any] = []
 
@@ -211,11 +214,11 @@
             self.bodies.append(json.loads(request.body))
         status, body = self.answers[name].pop(0)
         data = encoded(body)
-        writer.write(
-            b"HTTP/1.1 %d Status\r\ncontent-length: %d\r\n\r\n"
-            % (status, len(data))
-            + data
-        )
+        head = b"HTTP/1.1 %d Status\r\n" % status
+        if self.epochs:
+            head += b"Store-Era: %d\r\n" % self.epochs.pop(0)
+        head += b"content-length: %d\r\n\r\n" % len(data)
+        writer.write(head + data)
         await writer.drain()
 
 
@@ -259,6 +262,80 @@
     assert newest is not None and newest.version == 9
 
 
+async def test_a_configuration_at_a_revision_given_out_again_is_decoded(
+    store_server: StoreServer,
+) -> None:
+    """The store was restored from a copy between the two reads."""
+    store, address = store_server
+    later = CONFIGURATION | {"Version": 9}
+    store.epochs = [4, 5]
+    store.answers["kv-key"] = [
+        (200, stored_entry("op/config", CONFIGURATION, 5) | {"At": 9}),
+        (200, stored_entry("op/config", later, 5) | {"At": 5}),
+    ]
+    client = PlatformStore(address)
+    await client.read_configuration()
+    newest = await client.read_configuration()
+    assert newest is not None and newest.version == 9
+
+
+async def test_revisions_rise_though_the_store_was_restored(
+    store_server: StoreServer,
+) -> None:
+    store, address = store_server
+    store.epochs = [4, 5]
+    page = {"Entries": [], "HasMore": False}
+    store.answers["kv-range"] = [
+        (200, page | {"At": 900}),
+        (200, page | {"At": 7}),
+    ]
+    client = PlatformStore(address)
+    before = (await client.list_upstreams()).revision
+    after = (await client.list_upstreams()).revision
+    assert before < after
+    assert is_restored(before, after)
+    with pytest.raises(HistoryLostError):
+        await client.wait_for_changes(before, 2.0)
+    assert [name for _, name, _ in store.calls] == ["kv-range"] * 2
+
+
+async def test_a_watch_that_a_restored_store_answers_has_lost_its_history(
+    store_server: StoreServer,
+) -> None:
+    """The store has given the watch's revision out again."""
+    store, address = store_server
+    store.epochs = [5]
+    store.answers["kv-watch"] = [(200, {"events": [], "At": 14})]
+    with pytest.raises(HistoryLostError):
+        await PlatformStore(address).wait_for_changes(make_revision(4, 9), 2.0)
+    assert store.calls[0][2]["After"] == ["9"]
+
+
+async def test_pages_from_before_and_after_a_restoration_are_not_joined(
+    store_server: StoreServer,
+) -> None:
+    store, address = store_server
+    store.epochs = [4, 5]
+    entries = [stored_entry("servers/i-1", UPSTREAM, 3)]
+    page = {"Entries": entries, "HasMore": True, "At": 9}
+    store.answers["kv-range"] = [(200, page), (200, page)]
+    with pytest.raises(HistoryLostError):
+        await PlatformStore(address).list_upstreams()
+
+
+async def test_a_late_answer_from_before_a_restoration_is_refused(
+    store_server: StoreServer,
+) -> None:
+    store, address = store_server
+    store.epochs = [5, 4]
+    entry = stored_entry("op/config", CONFIGURATION, 5) | {"At": 9}
+    store.answers["kv-key"] = [(200, entry), (200, entry)]
+    client = PlatformStore(address)
+    await client.read_configuration()
+    with pytest.raises(SourceError):
+        await client.read_configuration()
+
+
 async def test_all_pages_of_upstreams_are_read(
     store_server: StoreServer,
 ) -> None:
--- a/tests/test_restored_service.py
+++ b/tests/test_restored_service.py
@@ -127,6 +127,8 @@
     store.write("servers/u2", entry_of())
     store.write("servers/u3", entry_of())
     await deployment.all_usable("u0 u1 u2 u3")
+    watches = len(deployment.daemons)
+    await until(lambda: store.waiting_watches == watches)
     store.restore(copy)
 
 
--- a/tests/test_routing_members.py
+++ b/tests/test_routing_members.py
@@ -23,6 +23,7 @@
     heartbeat_interval_s,
 )
 from plantainsail.routing.messages import Heartbeat
+from plantainsail.routing.revisions import make_revision
 
 OWN = "10.0.0.2:7000"
 REVOCATION_S = 5.0
@@ -292,3 +293,14 @@
     if members.is_distributor(0.1):
         distributors.add(own)
     assert distributors == set(fleet[:WATCHERS])
+
+
+def test_a_daemon_lags_at_once_behind_a_restoration(members: Members) -> None:
+    """Its own revision is higher by the service's count of changes."""
+    before, after = make_revision(1, 900), make_revision(2, 50)
+    message = heartbeat("b", 1, registry_revision=after)
+    member = members.record_heartbeat(message, 1.0)
+    assert member is not None
+    assert member.is_ahead_too_long(1, before, 1.0)
+    assert members.newest_ahead_of(1, before) == [member]
+    assert members.newest_ahead_of(1, after) == []
