End a pending watch when the configuration service was restored

A watch on a connection that the outage did not cut hears nothing of what is written after the restoration, for up to 9.5 s, while the first daemon reads the new configuration twice a second. The source now names the epoch of each read, and a daemon that sees a newer one, in a read or in the lists of a peer, ends its watch and reads all lists.

--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -19,6 +19,7 @@
 from plantainsail.routing.in_force import is_read_due
 from plantainsail.routing.messages import ListChange
 from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
+from plantainsail.routing.revisions import is_restored, make_revision
 
 WATCH_TIMEOUT_S = 8.0
 WATCHER_CHECK_S = 0.25
@@ -132,29 +133,52 @@
         ):
             # Peers that don't watch fetch the list at once.
             self.announce()
+        self.node.service_restored.clear()
         return published.revision
 
     async def _read_configuration(self) -> None:
         as_of_s = self.node.now_s()
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
-                configuration = await self.source.read_configuration()
+                published = await self.source.read_configuration()
         except TimeoutError as error:
             raise SourceError("no answer in time") from error
         self._mark_service_regained(self.node.now_s())
-        if configuration is not None:
-            self.put_in_force(configuration, as_of_s, "read")
+        first_revision = make_revision(published.epoch, 0)
+        if is_restored(self.node.registry.revision, first_revision):
+            self.node.service_restored.set()
+        if published.configuration is not None:
+            self.put_in_force(published.configuration, as_of_s, "read")
 
     async def _follow(self, revision: int) -> None:
         while self.node.members.is_watcher(self.node.now_s()):
-            changes = await self.source.wait_for_changes(
-                revision, WATCH_TIMEOUT_S
-            )
+            changes = await self._next_changes(revision)
             self._mark_service_regained(self.node.now_s())
             self._apply_changes(changes)
             revision = max(revision, changes.revision)
             await asyncio.sleep(MIN_CHANGE_INTERVAL_S)
 
+    async def _next_changes(self, revision: int) -> Changes:
+        """Wait for changes, unless the service is restored meanwhile.
+
+        A watch on a connection that the outage left open would hear
+        nothing of the changes since.
+        """
+        watch = asyncio.ensure_future(
+            self.source.wait_for_changes(revision, WATCH_TIMEOUT_S)
+        )
+        restored = asyncio.ensure_future(self.node.service_restored.wait())
+        waits = (watch, restored)
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if restored.done():
+                raise HistoryLostError("restored during the watch")
+            return watch.result()
+        finally:
+            for wait in waits:
+                wait.cancel()
+            await asyncio.gather(*waits, return_exceptions=True)
+
     def _apply_changes(self, changes: Changes) -> None:
         for configuration in changes.configurations:
             self.put_in_force(configuration, None, "watch")
--- a/src/plantainsail/entry/file_source.py
+++ b/src/plantainsail/entry/file_source.py
@@ -28,6 +28,7 @@
 
 from plantainsail.entry.source import (
     Changes,
+    PublishedConfiguration,
     PublishedUpstreams,
     SourceError,
     UpstreamChange,
@@ -63,9 +64,9 @@
         self.file = file
         self.last_published: PublishedFile | None = None
 
-    async def read_configuration(self) -> RoutingConfiguration | None:
+    async def read_configuration(self) -> PublishedConfiguration:
         """Return the file's configuration."""
-        return _configuration_of(self._read())
+        return PublishedConfiguration(_configuration_of(self._read()))
 
     async def list_upstreams(self) -> PublishedUpstreams:
         """Return the file's upstreams."""
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -71,6 +71,10 @@
         # to these.
         self.announcements_pending = asyncio.Event()
 
+        # Set when an answer or a peer shows that the configuration
+        # service was restored, until all lists are read again.
+        self.service_restored = asyncio.Event()
+
     def now_s(self) -> float:
         """Return the time of a clock that also runs during suspend."""
         return self.clock.now_s()
@@ -115,6 +119,7 @@
     def _record_restoration(self, before: int, origin: str) -> None:
         revision = self.registry.revision
         self.metrics.restorations.inc()
+        self.service_restored.set()
         self.log.warning(
             "configuration service restored",
             epoch=epoch_of(revision),
--- a/src/plantainsail/entry/source.py
+++ b/src/plantainsail/entry/source.py
@@ -21,6 +21,16 @@
     """The source no longer has all changes since a revision."""
 
 
+class PublishedConfiguration(NamedTuple):
+    """The newest configuration, or None before the first one.
+
+    `epoch` rises each time the source is restored from a copy.
+    """
+
+    configuration: RoutingConfiguration | None
+    epoch: int = 0
+
+
 class PublishedUpstreams(NamedTuple):
     """All upstreams at one revision."""
 
@@ -47,8 +57,8 @@
 class PublishedSource(Protocol):
     """Reads what operators and upstreams publish."""
 
-    async def read_configuration(self) -> RoutingConfiguration | None:
-        """Return the newest configuration, or None before the first."""
+    async def read_configuration(self) -> PublishedConfiguration:
+        """Return the newest configuration."""
 
     async def list_upstreams(self) -> PublishedUpstreams:
         """Return all upstreams."""
--- a/src/plantainsail/platform/store.py
+++ b/src/plantainsail/platform/store.py
@@ -8,6 +8,7 @@
 from plantainsail.entry.source import (
     Changes,
     HistoryLostError,
+    PublishedConfiguration,
     PublishedUpstreams,
     SourceError,
     UpstreamChange,
@@ -57,13 +58,15 @@
         self.last_revision: int | None = None
         self.last_configuration: RoutingConfiguration | None = None
 
-    async def read_configuration(self) -> RoutingConfiguration | None:
-        """Return the newest configuration, or None before the first."""
+    async def read_configuration(self) -> PublishedConfiguration:
+        """Return the newest configuration."""
         target = f"/plantainsail/kv-key?Key={quote(CONFIGURATION_KEY)}"
         answer = await self._get(target, READ_TIMEOUT_S)
-        if answer.status == HTTP_NOT_FOUND:
-            return None
-        return self._configuration(_checked_body(answer), answer.epoch)
+        configuration = None
+        if answer.status != HTTP_NOT_FOUND:
+            item = _checked_body(answer)
+            configuration = self._configuration(item, answer.epoch)
+        return PublishedConfiguration(configuration, answer.epoch)
 
     async def list_upstreams(self) -> PublishedUpstreams:
         """Read all upstreams page by page.
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -13,6 +13,7 @@
 from plantainsail.entry.settings import EntryBounds, EntrySettings
 from plantainsail.entry.source import (
     Changes,
+    PublishedConfiguration,
     PublishedSource,
     PublishedUpstreams,
     SourceError,
@@ -204,10 +205,10 @@
         self.configurations: list[RoutingConfiguration] = []
         self.changed = asyncio.Event()
 
-    async def read_configuration(self) -> RoutingConfiguration | None:
+    async def read_configuration(self) -> PublishedConfiguration:
         """Return the published configuration."""
         self._check()
-        return self.published
+        return PublishedConfiguration(self.published)
 
     async def list_upstreams(self) -> PublishedUpstreams:
         """Return the entries of all upstreams and their revision."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -239,9 +239,9 @@
     entry = stored_entry("op/config", CONFIGURATION, 5) | {"At": 9}
     store.answers["kv-key"] = [(200, entry), (404, {})]
     client = PlatformStore(address)
-    configuration = await client.read_configuration()
+    configuration = (await client.read_configuration()).configuration
     assert configuration is not None and configuration.version == 7
-    assert await client.read_configuration() is None
+    assert (await client.read_configuration()).configuration is None
     assert store.calls[0][2] == {"Key": ["op/config"]}
 
 
@@ -256,9 +256,9 @@
         (200, stored_entry("op/config", later, 6) | {"At": 11}),
     ]
     client = PlatformStore(address)
-    first = await client.read_configuration()
-    assert await client.read_configuration() is first
-    newest = await client.read_configuration()
+    first = (await client.read_configuration()).configuration
+    assert (await client.read_configuration()).configuration is first
+    newest = (await client.read_configuration()).configuration
     assert newest is not None and newest.version == 9
 
 
@@ -274,9 +274,10 @@
         (200, stored_entry("op/config", later, 5) | {"At": 5}),
     ]
     client = PlatformStore(address)
-    await client.read_configuration()
-    newest = await client.read_configuration()
+    assert (await client.read_configuration()).epoch == 4
+    newest, epoch = await client.read_configuration()
     assert newest is not None and newest.version == 9
+    assert epoch == 5
 
 
 async def test_revisions_rise_though_the_store_was_restored(
