Compare the first read of a restored service with the peers' versions

A daemon that had been cut off from the service and its peers, or just started, read the copy's older configuration and took the read for a proof that it is the newest: a key that had been taken away was accepted until a peer's heartbeat came.

--- a/src/plantainsail/entry/feed.py
+++ b/src/plantainsail/entry/feed.py
@@ -16,6 +16,7 @@
     PublishedSource,
     SourceError,
 )
+from plantainsail.routing.first_proofs import FirstProofs, ReadProof
 from plantainsail.routing.in_force import is_read_due
 from plantainsail.routing.messages import ListChange
 from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
@@ -52,6 +53,10 @@
         self.started_s = node.now_s()
         self.is_service_lost = False
         self.back_off_s = BACK_OFF_FIRST_S
+        self.in_force_since_s = self.started_s
+        self.first_proofs = FirstProofs()
+        # The last epoch in which the service named an older version.
+        self.outdated_epoch = -1
         # The daemon replaces these by the methods of its gossip.
         self.send_list_change: Callable[[ListChange], None] = (
             _ignore_list_change
@@ -87,6 +92,9 @@
             )
             self.node.use_renewed_upstreams()
             self.node.forget_gone_engines()
+            self._check_first_proof()
+            if self.first_proofs.pending is not None:
+                continue
             age_s = self.node.in_force.age_s(now_s)
             rank = self.node.members.rank(now_s)
             if not is_read_due(age_s, rank, now_s - self.started_s):
@@ -106,6 +114,7 @@
         """Apply a configuration, and log it if it is a new one."""
         if not self.node.in_force.offer(configuration, as_of_s):
             return
+        self.in_force_since_s = self.node.now_s()
         self.node.metrics.configuration_version.set(configuration.version)
         self.node.log.info(
             "configuration in force",
@@ -148,8 +157,49 @@
         first_revision = make_revision(published.epoch, 0)
         if is_restored(self.node.registry.revision, first_revision):
             self.node.service_restored.set()
-        if published.configuration is not None:
-            self.put_in_force(published.configuration, as_of_s, "read")
+        if published.configuration is None:
+            return
+        proof = ReadProof(
+            published.configuration.version, as_of_s, published.epoch
+        )
+        is_proved = self._is_proved(proof)
+        self.put_in_force(
+            published.configuration, as_of_s if is_proved else None, "read"
+        )
+
+    def _is_proved(self, proof: ReadProof) -> bool:
+        newest = self.node.in_force.version
+        if proof.version < newest:
+            # One may have come into force while the read was made.
+            if proof.as_of_s > self.in_force_since_s:
+                self._log_outdated(proof, newest)
+            return False
+        return self.first_proofs.may_use(proof)
+
+    def _check_first_proof(self) -> None:
+        """Use a proof that was held back, if the peers allow it."""
+        held = self.first_proofs.pending
+        if held is None:
+            return
+        now_s = self.node.now_s()
+        peers = self.node.members.versions_since(held.as_of_s, now_s)
+        if peers.newest > held.version:
+            self._log_outdated(held, peers.newest)
+        proof = self.first_proofs.check(peers, now_s)
+        if proof is not None:
+            self.node.in_force.confirm(proof.version, proof.as_of_s)
+
+    def _log_outdated(self, proof: ReadProof, newest: int) -> None:
+        """Log once for each epoch that the service lost a version."""
+        if proof.epoch == self.outdated_epoch:
+            return
+        self.outdated_epoch = proof.epoch
+        self.node.log.warning(
+            "published configuration outdated",
+            version=proof.version,
+            newest=newest,
+            epoch=proof.epoch,
+        )
 
     async def _follow(self, revision: int) -> None:
         while self.node.members.is_watcher(self.node.now_s()):
--- a/src/plantainsail/routing/members.py
+++ b/src/plantainsail/routing/members.py
@@ -4,6 +4,7 @@
 from collections import deque
 from typing import NamedTuple
 
+from plantainsail.routing.first_proofs import PeerVersions
 from plantainsail.routing.messages import Heartbeat
 from plantainsail.routing.revisions import is_restored
 
@@ -283,6 +284,21 @@
         ahead.sort(key=_lists_version, reverse=True)
         return ahead[: (len(ahead) + 1) // 2]
 
+    def versions_since(self, since_s: float, now_s: float) -> PeerVersions:
+        """Return what live peers' heartbeats tell of their versions.
+
+        Those after `since_s` count as heard.
+        """
+        heard = 0
+        newest = -1
+        live = self.live(now_s)
+        for member in live:
+            newest = max(newest, member.configuration_version)
+            assert member.last_heartbeat_s is not None
+            if member.last_heartbeat_s > since_s:
+                heard += 1
+        return PeerVersions(len(live), heard, newest)
+
     def fleet_size(self) -> int | None:
         """Return the size of the largest fleet seen so far.
 
--- a/tests/test_restored_service.py
+++ b/tests/test_restored_service.py
@@ -13,6 +13,7 @@
 
 from plantainsail.entry import feed
 from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.entry.settings import EntryBounds
 from plantainsail.platform.store import PlatformStore
 from soak.fleet import free_address
 from tests.standins.restorable_store import (
@@ -25,6 +26,7 @@
 # A test that waits in vain fails after this time.
 LIMIT_S = 20.0
 NEVER_S = 3_600.0
+BOUNDS = EntryBounds(revocation_s=1.0)
 KEY = {"authorization": "Bearer good-key"}
 
 
@@ -92,9 +94,15 @@
 
     async def all_version(self, version: int) -> None:
         """Wait until a version is in force at all daemons."""
-        await self.all_know(
-            lambda daemon: daemon.node.in_force.version == version
-        )
+        await self.all_know(lambda daemon: version_of(daemon) == version)
+
+
+def version_of(daemon: EntryDaemon) -> int:
+    return daemon.node.in_force.version
+
+
+def ignore_datagram(_: bytes, __: tuple[str, int]) -> None:
+    """Drop a message, as a network that is cut does."""
 
 
 def usable(daemon: EntryDaemon) -> set[str]:
@@ -245,6 +253,39 @@
     await deployment.all_usable("u1")
 
 
+async def test_a_daemon_that_was_cut_off_accepts_no_key_by_the_copy(
+    deployment: Deployment,
+) -> None:
+    """The copy has a key that was taken away meanwhile."""
+    store = deployment.store
+    copy = store.copy()
+    cut_off = deployment.daemons[2]
+    node = cut_off.node
+    node.settings = node.settings._replace(bounds=BOUNDS)
+    source = cut_off.feed.source
+    assert isinstance(source, PlatformStore)
+    receive = cut_off.gossip.datagram_received
+    source.address = free_address()
+    cut_off.gossip.datagram_received = ignore_datagram  # type: ignore
+    # The watch that waits is answered once more.
+    store.write("other", 1)
+    await until(lambda: cut_off.feed.is_service_lost)
+    store.write(CONFIGURATION_KEY, configuration_of(5, "/two/", ()))
+    await until(lambda: version_of(deployment.daemons[0]) == 5)
+    await until(lambda: version_of(deployment.daemons[1]) == 5)
+    await until(lambda: not node.may_use_keys())
+    store.restore(copy)
+    source.address = deployment.address
+    await until(lambda: not cut_off.feed.is_service_lost)
+    assert version_of(cut_off) == 3
+    assert not node.may_use_keys()
+    cut_off.gossip.datagram_received = receive  # type: ignore
+    while node.in_force.version == 3:
+        assert not node.may_use_keys()
+        await asyncio.sleep(0)
+    assert node.in_force.version == 5
+
+
 async def test_a_store_that_is_restored_twice_is_followed(
     deployment: Deployment,
 ) -> None:
