--- a/src/plantainsail/routing/held_entries.py
+++ b/src/plantainsail/routing/held_entries.py
@@ -8,15 +8,20 @@
 from typing import NamedTuple
 
 from plantainsail.routing.model import RoutedUpstream
+from plantainsail.routing.revisions import is_restored
 
 # An entry that is not renewed lapses within this time.
 ENTRY_LIFETIME_S = 6.0
 
 
 class HeldEntry(NamedTuple):
-    """An entry that is not used yet, since `held_s`."""
+    """An entry that is not used yet, since `held_s`.
+
+    `revision` is that of the list which it was first held in.
+    """
 
     upstream: RoutedUpstream
+    revision: int
     held_s: float
 
 
@@ -26,13 +31,19 @@
     def __init__(self) -> None:
         self.entries: dict[str, HeldEntry] = {}
 
-    def hold(self, upstream: RoutedUpstream, now_s: float) -> None:
-        """Hold an entry back, from the first time it is held."""
-        held_s = now_s
+    def hold(
+        self, upstream: RoutedUpstream, revision: int, now_s: float
+    ) -> None:
+        """Hold an entry back, from the first list of its epoch."""
         known = self.entries.get(upstream.identifier)
-        if known is not None and known.upstream == upstream:
-            held_s = known.held_s
-        self.entries[upstream.identifier] = HeldEntry(upstream, held_s)
+        if (
+            known is not None
+            and known.upstream == upstream
+            and not is_restored(known.revision, revision)
+        ):
+            return
+        held = HeldEntry(upstream, revision, now_s)
+        self.entries[upstream.identifier] = held
 
     def drop(self, identifier: str) -> None:
         """Forget an entry that was removed or written anew."""
--- a/src/plantainsail/routing/registry.py
+++ b/src/plantainsail/routing/registry.py
@@ -108,17 +108,21 @@
         if is_restored(self.revision, revision):
             # The copy lacks upstreams that announce themselves again.
             self.service_regained_s = now_s
-        listed = {upstream.identifier for upstream in upstreams}
+        listed: dict[str, RoutedUpstream] = {}
+        outdated: dict[str, RoutedUpstream] = {}
+        for upstream in upstreams:
+            has_left = self._left_before_restoration(upstream, revision)
+            group = outdated if has_left else listed
+            group[upstream.identifier] = upstream
         departures: list[Departure] = []
         for identifier in list(self.entries):
             if identifier not in listed:
                 departures += self.remove(identifier, revision, now_s)
-        for identifier in self.held.entries.keys() - listed:
+        for identifier in self.held.entries.keys() - outdated.keys():
             self.held.drop(identifier)
-        for upstream in upstreams:
-            if self._left_before_restoration(upstream, revision):
-                self.held.hold(upstream, now_s)
-                continue
+        for upstream in outdated.values():
+            self.held.hold(upstream, revision, now_s)
+        for upstream in listed.values():
             departures += self.put(upstream, revision, now_s)
         self.revision = revision
         return departures
@@ -291,10 +295,29 @@
             return False
         return departure.upstream.is_draining and departure.is_of(upstream)
 
+    def _has_newer_incarnation(self, upstream: RoutedUpstream) -> bool:
+        """Return whether a later start of an upstream is known."""
+        known = self.entries.get(upstream.identifier)
+        if known is not None:
+            return known.born_ms > upstream.born_ms
+        for departures in (self.vanished, self.departures):
+            departure = departures.get(upstream.identifier)
+            if departure is None:
+                continue
+            if departure.upstream.born_ms > upstream.born_ms:
+                return True
+        return False
+
     def _left_before_restoration(
         self, upstream: RoutedUpstream, revision: int
     ) -> bool:
         """Return whether an upstream had left in an older epoch."""
+        is_held = upstream.identifier in self.held.entries
+        is_first_list = is_restored(self.revision, revision)
+        if (is_held or is_first_list) and self._has_newer_incarnation(
+            upstream
+        ):
+            return True
         departure = self.departures.get(upstream.identifier)
         if departure is None or not departure.is_of(upstream):
             return False
--- a/tests/test_routing_registry.py
+++ b/tests/test_routing_registry.py
@@ -255,3 +255,15 @@
     assert usable_names(registry) == ["two"]
     registry.put(upstream("one", born_ms=6), 13, 2.0)
     assert usable_names(registry) == ["one", "two"]
+
+
+def test_an_earlier_incarnation_in_the_copy_is_not_used(
+    registry: UpstreamRegistry,
+) -> None:
+    registry.put(upstream("one", born_ms=9), make_revision(1, 12), 1.0)
+    copy = (upstream("one", born_ms=5), upstream("two"))
+    registry.replace(copy, make_revision(2, 10), 2.0)
+    used = registry.usable_upstreams("letters")
+    assert upstream("one", born_ms=5) not in used
+    # The later one writes its entry again within its grace time.
+    assert upstream("one", born_ms=9) in used
