Send an upstream nothing more once its answer says that it leaves

Nobody read the header, so an upstream whose entry did not yet say so, or while the configuration service was out of reach, got requests until it was gone (five tests failed). The head of each answer is now looked at in one place; the departure is recorded as with an engine's own notice, its streams are moved, and heartbeats tell peers.

--- a/src/plantainsail/entry/dialect.py
+++ b/src/plantainsail/entry/dialect.py
@@ -16,7 +16,8 @@
     Upstreams put `signature` on their answers, so that an answer
     without it can be recognised as foreign.  `rate_limit` in an answer
     is how many requests a second its upstream takes from all daemons
-    together.  `other_internal` are further headers that callers may not
+    together, and `leaving` with the value 1 says that its upstream
+    leaves.  `other_internal` are further headers that callers may not
     set.
     """
 
@@ -27,6 +28,7 @@
     not_executed: bytes = b"plantainsail-not-executed"
     signature: bytes = b"plantainsail-signature"
     rate_limit: bytes = b"plantainsail-rate-limit"
+    leaving: bytes = b"plantainsail-leaving"
     tokens: bytes = b"plantainsail-tokens"
     prompt_parts: bytes = b"plantainsail-prompt-parts"
     length_hint: bytes = b"plantainsail-length-hint"
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from plantainsail.entry import limits, suspects
+from plantainsail.entry.answer_headers import note_answer
 from plantainsail.entry.caller import remove_hop_by_hop
 from plantainsail.entry.dialect import parse_token_counts
 from plantainsail.entry.evacuation import (
@@ -254,7 +255,7 @@
             head = await connection.read_head()
         except CutShortError as error:
             raise GenerationLostError(str(error)) from error
-        limits.note_answer(self.node, upstream.identifier, head)
+        note_answer(self.node, upstream, head)
         return head
 
     async def _relay_connection(self) -> None:
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -12,6 +12,7 @@
 from plantainsail.policy.part_quarantine import PartQuarantine
 from plantainsail.routing.avoidance import Avoidance
 from plantainsail.routing.budget import RepeatBudget
+from plantainsail.routing.evacuation import DEFAULT_NOTICE_S
 from plantainsail.routing.fleet_loads import FleetLoads
 from plantainsail.routing.in_force import ConfigurationInForce
 from plantainsail.routing.members import Members
@@ -171,6 +172,18 @@
             self.notice_periods_s[identifier] = notice.gone_s - departure.at_s
         self.record_departures(departures, origin)
 
+    def note_leaving_answer(self, upstream: RoutedUpstream) -> None:
+        """Record that an upstream says in an answer that it leaves.
+
+        How long it stays is not known.
+        """
+        if not self.registry.is_usable(upstream.identifier):
+            return
+        gone_s = self.now_s() + DEFAULT_NOTICE_S
+        notice = DepartureNotice(upstream.born_ms, gone_s)
+        self.record_departure_notice(upstream.identifier, notice, "its answer")
+        self.engine_state_changed.set()
+
     def note_cut(self, identifier: str) -> None:
         """Avoid an engine that cut a stream before its first event."""
         now_s = self.now_s()
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from plantainsail.entry import limits, suspects
+from plantainsail.entry.answer_headers import note_answer
 from plantainsail.entry.death_checks import BrokenRun, DeathChecks
 from plantainsail.entry.failures import record_failure
 from plantainsail.entry.node import EntryNode
@@ -262,7 +263,7 @@
                 )
             )
             head = await connection.read_head()
-            limits.note_answer(node, upstream.identifier, head)
+            note_answer(node, upstream, head)
             body = await connection.read_body(MAX_ANSWER_BYTES)
         except CutShortError:
             return SendResult(SendOutcome.FAILED, reason=CUT_SHORT)
--- a/src/plantainsail/platform/names.py
+++ b/src/plantainsail/platform/names.py
@@ -10,6 +10,7 @@
     not_executed=b"x-not-executed",
     signature=b"x-response-signature",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
     tokens=b"x-token-usage",
     prompt_parts=b"x-prompt-prefix",
     length_hint=b"x-length-hint",
