Hold requests off an upstream that asks for a pause

If all upstreams of a service want none, requests are refused at once and told when to come back, also streams, which waited for their deadline before (also where all engines are at their rate limits).

--- a/src/plantainsail/entry/limits.py
+++ b/src/plantainsail/entry/limits.py
@@ -48,18 +48,6 @@
     node.announcements_pending.set()
 
 
-def shortest_wait_s(node: EntryNode, service: str) -> float:
-    """Return the time until the limits let a service take a request.
-
-    It is 0 if the service has no upstream.
-    """
-    now_s = node.now_s()
-    waits_s: list[float] = []
-    for upstream in node.registry.usable_upstreams(service):
-        waits_s.append(node.rate_limits.wait_s(upstream.identifier, now_s))
-    return min(waits_s, default=0.0)
-
-
 def make_reports(
     node: EntryNode, identifiers: list[str], *, is_news: bool
 ) -> list[RateLimitReport]:
--- a/src/plantainsail/entry/metrics.py
+++ b/src/plantainsail/entry/metrics.py
@@ -46,6 +46,11 @@
             "Upstreams that name a rate limit in their answers.",
             registry=self.registry,
         )
+        self.hold_offs = Counter(
+            "plantainsail_entry_hold_offs",
+            "Pauses that upstreams asked this daemon for.",
+            registry=self.registry,
+        )
         self.moves = Counter(
             "plantainsail_entry_moves",
             "Running generations moved off an engine, by result.",
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -14,6 +14,7 @@
 from plantainsail.routing.budget import RepeatBudget
 from plantainsail.routing.evacuation import DEFAULT_NOTICE_S
 from plantainsail.routing.fleet_loads import FleetLoads
+from plantainsail.routing.hold_offs import HoldOffs
 from plantainsail.routing.in_force import ConfigurationInForce
 from plantainsail.routing.members import Members
 from plantainsail.routing.model import CallerLimits, RoutedUpstream
@@ -51,6 +52,7 @@
         self.quarantine = PartQuarantine()
         self.read_rates = ReadRates()
         self.rate_limits = RateLimits()
+        self.hold_offs = HoldOffs()
         self.members = Members(settings.peer_address, settings.seed_addresses)
         self.budgets: dict[str, RepeatBudget] = {}
         self.metrics = EntryMetrics()
@@ -203,6 +205,27 @@
         self.avoidance.note_ended(identifier, self.now_s())
         self.engine_state_changed.set()
 
+    def send_wait_s(self, upstream: RoutedUpstream) -> float:
+        """Return how long to wait before sending to an upstream.
+
+        Its rate limit or a pause that it asked for may demand so.
+        """
+        now_s = self.now_s()
+        return max(
+            self.rate_limits.wait_s(upstream.identifier, now_s),
+            self.hold_offs.wait_s(upstream, now_s),
+        )
+
+    def shortest_wait_s(self, service: str) -> float:
+        """Return how long to wait before sending to a service.
+
+        It is 0 if the service has no upstream.
+        """
+        waits_s: list[float] = []
+        for upstream in self.registry.usable_upstreams(service):
+            waits_s.append(self.send_wait_s(upstream))
+        return min(waits_s, default=0.0)
+
     def update_gauges(self) -> None:
         """Show how many parts are refused and upstreams limited."""
         now_s = self.now_s()
@@ -225,6 +248,7 @@
         self.read_rates.forget_except(set(identifiers))
         self.avoidance.forget_except(set(identifiers))
         self.rate_limits.forget_except(set(identifiers))
+        self.hold_offs.forget_ended(self.now_s())
         self.update_gauges()
 
     def caller_limits(self) -> CallerLimits:
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -178,9 +178,9 @@
         The callers refused for the same reason come back spread out.
         """
         detail = "no upstream took the request"
-        wait_s = limits.shortest_wait_s(self.node, request.service.name)
+        wait_s = self.node.shortest_wait_s(request.service.name)
         if wait_s > 0:
-            detail = "all upstreams are at their rate limits"
+            detail = "all upstreams want no request yet"
         retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
         return Failure(
             Code.NO_UPSTREAM,
@@ -207,7 +207,7 @@
             for upstream in node.registry.usable_upstreams(
                 request.service.name
             )
-            if node.rate_limits.may_send(upstream.identifier, now_s)
+            if not node.send_wait_s(upstream)
         ]
         node.random.shuffle(views)
         return choose_plain(views, tried)
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -233,10 +233,11 @@
         if not self.node.registry.usable_upstreams(request.service.name):
             return Failure(Code.NO_UPSTREAM, "no engine is there", 0.5)
         spread_s = RETRY_AFTER_SPREAD_S * self.node.random.random()
+        wait_s = self.node.shortest_wait_s(request.service.name)
         return Failure(
             Code.QUEUE_FULL,
             "no engine has room in time",
-            MIN_RETRY_AFTER_S + spread_s,
+            max(MIN_RETRY_AFTER_S, wait_s) + spread_s,
         )
 
     def _may_retry(
--- a/src/plantainsail/entry/views.py
+++ b/src/plantainsail/entry/views.py
@@ -63,7 +63,7 @@
                 node.read_rates.rate(identifier),
                 identifier in avoided
                 or node.registry.is_suspect(identifier, now_s)
-                or not node.rate_limits.may_send(identifier, now_s),
+                or node.send_wait_s(upstream) > 0,
                 _is_same_zone(node, upstream),
             )
         )
--- a/src/plantainsail/entry/waiting.py
+++ b/src/plantainsail/entry/waiting.py
@@ -94,7 +94,8 @@
             )
         )
         for waiter in list(self.waiters):
-            if self._is_hopeless(waiter, now_s):
+            wait_s = self.node.shortest_wait_s(waiter.service.name)
+            if self._is_hopeless(waiter, now_s, now_s + wait_s):
                 self._finish_wait(waiter, None)
                 continue
             service = waiter.service
@@ -105,16 +106,19 @@
                 self._finish_wait(waiter, choice)
                 return
 
-    def _is_hopeless(self, waiter: Waiter, now_s: float) -> bool:
+    def _is_hopeless(
+        self, waiter: Waiter, now_s: float, start_s: float
+    ) -> bool:
         """Return whether a generation will get no engine in time.
 
-        One that crashes engines gets none either.
+        It can start at `start_s` at the earliest.  One that crashes
+        engines gets none either.
         """
         quarantine = self.node.quarantine
         if quarantine.find_cause(waiter.parts, now_s) is not None:
             return True
         return gives_up_before_first_event(
-            waiter.claim, waiter.prompt_read_s, now_s
+            waiter.claim, waiter.prompt_read_s, start_s
         )
 
     def _finish_wait(
--- a/tests/standins/office.py
+++ b/tests/standins/office.py
@@ -1,4 +1,4 @@
-"""Two daemons and two upstreams, of which one says more in its answers."""
+"""Two daemons and two upstreams, of which one says more of itself."""
 
 import asyncio
 
