Believe no refusal that names another request

Reported by operators of similar systems: a faulty upstream wrote an earlier refusal once more, and callers were told 'not run' of a request that ran, or it ran a second time elsewhere. The entry daemon uses a connection once, which rules out most of it, but it looked at the refusal before the identifier in it: a refusal of another request was taken for one of this.

--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -164,7 +164,7 @@
         except ConnectError as error:
             raise NotRunError(error.problem) from error
         head = await self._send(self.connection, self.upstream, [])
-        if is_not_executed(head, self.node.dialect):
+        if is_not_executed(head, self.request, self.node.dialect):
             raise NotRunError("refused")
         if not is_valid_answer_head(head, self.request, self.node.dialect):
             raise GenerationLostError("not its answer")
@@ -366,7 +366,7 @@
         """
         try:
             head = await self._open_leg(continuation, continuation.upstream)
-            is_refused = is_not_executed(head, self.node.dialect)
+            is_refused = is_not_executed(head, self.request, self.node.dialect)
             if not is_refused or continuation.source is None:
                 return ResumedStream(continuation.upstream, head)
         except (ConnectError, GenerationLostError) as error:
--- a/src/plantainsail/entry/request.py
+++ b/src/plantainsail/entry/request.py
@@ -93,8 +93,7 @@
     """
     if head.status in NOT_RUN_STATUSES:
         return False
-    echoed = head.get(dialect.request_id)
-    if echoed is not None and echoed.decode("latin-1") != request.identifier:
+    if is_of_another_request(head, request, dialect):
         return False
     encoding = head.get(b"content-encoding")
     if encoding not in (None, b"identity"):
@@ -103,8 +102,25 @@
     return not is_success or head.get(dialect.signature) is not None
 
 
-def is_not_executed(head: AnswerHead, dialect: Dialect) -> bool:
-    """Return whether an upstream reports that it ran nothing."""
+def is_of_another_request(
+    head: AnswerHead, request: RoutedRequest, dialect: Dialect
+) -> bool:
+    """Return whether an answer names another request as its own."""
+    echoed = head.get(dialect.request_id)
+    if echoed is None:
+        return False
+    return echoed.decode("latin-1") != request.identifier
+
+
+def is_not_executed(
+    head: AnswerHead, request: RoutedRequest, dialect: Dialect
+) -> bool:
+    """Return whether an upstream reports that it ran nothing.
+
+    A faulty one may repeat what it reported of an earlier request.
+    """
+    if is_of_another_request(head, request, dialect):
+        return False
     if head.status == 421:
         return True
     return head.get(dialect.not_executed) is not None
--- a/src/plantainsail/entry/send_results.py
+++ b/src/plantainsail/entry/send_results.py
@@ -49,7 +49,7 @@
     head: AnswerHead, body: bytes, request: RoutedRequest, node: EntryNode
 ) -> SendResult:
     """Return what a complete answer says about its attempt."""
-    if is_not_executed(head, node.dialect):
+    if is_not_executed(head, request, node.dialect):
         return SendResult(SendOutcome.NOT_RUN, reason="refused")
     if not is_valid_answer_head(head, request, node.dialect):
         return SendResult(SendOutcome.FAILED, reason="not its answer")
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -571,3 +571,58 @@
     assert (await read_answer(reader)).body == b"done"
     writer.close()
     assert len(env.received_requests()) == 4
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x"])
+async def test_a_refusal_of_another_request_is_not_believed(
+    path: str,
+) -> None:
+    """A faulty upstream wrote an earlier refusal once more.
+
+    It may run this request, so "not run" would be false.
+    """
+    extra = b"plantainsail-not-executed: 1\r\nplantainsail-request-id: r0\r\n"
+    upstream = StandInUpstream("u1", respond_with(answer(503, b"", extra)))
+    source = StandInSource(configuration(), (await upstream.start(),))
+    daemon = await start_entry(source)
+    await until(daemon.node.is_ready)
+    response = await StandInCaller(daemon).call(path)
+    assert response.status == 502
+    assert response.headers["plantainsail-outcome"] == "unknown"
+    await daemon.stop()
+    upstream.stop()
+
+
+WHOLE_HEADS = [
+    answer(200, b""),
+    answer(200, b"", b"plantainsail-request-id: r1\r\n"),
+    b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\nconnection: close\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-later: 1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nplantainsail-signature: s\r\nx-later: 1\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
+@pytest.mark.parametrize("head", WHOLE_HEADS)
+async def test_an_answer_closed_at_any_byte_of_its_head_gets_502(
+    path: str, head: bytes
+) -> None:
+    """Otherwise the caller gets an empty body, framed as whole."""
+    cuts = iter(range(len(head)))
+
+    async def serve(_: object, writer: asyncio.StreamWriter) -> None:
+        writer.write(head[: next(cuts)])
+        await writer.drain()
+        writer.close()
+
+    upstream = StandInUpstream("u1", serve)
+    source = StandInSource(configuration(), (await upstream.start(),))
+    daemon = await start_entry(source)
+    await until(daemon.node.is_ready)
+    daemon.node.note_cut = lambda _: None  # type: ignore[method-assign]
+    for _ in range(len(head)):
+        daemon.node.registry.note_success("u1")
+        response = await StandInCaller(daemon).call(path)
+        assert response.status == 502
+    await daemon.stop()
+    upstream.stop()
--- a/tests/test_upstreams_http.py
+++ b/tests/test_upstreams_http.py
@@ -288,3 +288,15 @@
         await client.aclose()
 
     asyncio.run(run())
+
+
+async def test_empty_answer_closed_at_any_byte_of_its_head_is_not_whole(
+    upstream: RawUpstream,
+) -> None:
+    """Its head said already that no body follows."""
+    caller = Caller(make_client(), await upstream.start())
+    upstream.closes = True
+    sample = OK_LINE + b"content-length: 0\r\nx-later: yes\r\n\r\n"
+    for at in range(len(sample)):
+        upstream.answer = lambda _, at=at: sample[:at]  # type: ignore[misc]
+        assert (await caller.call()).is_error()
