Refuse late requests that would outlast the grace period

Reported by operators of similar systems: requests that came late in a planned stop were passed on and cut at the end of the grace period, among them some that may not be repeated. Streams were refused while a daemon leaves already. A request of a plain service was taken until the listener closed, whatever its deadline: with a route's timeout that reaches beyond the end it could be cut without an answer. After the load balancer had time to notice, such a request is refused as not run, with a time to come back; shorter ones are served (both tests failed before).

--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -208,6 +208,10 @@
         if self.node.is_leaving:
             return
         self.node.is_leaving = True
+        now_s = self.node.now_s()
+        grace_s = self.node.settings.bounds.grace_s
+        self.node.last_call_s = now_s + BALANCER_DELAY_S
+        self.node.leaves_at_s = now_s + grace_s - STOP_MARGIN_S
         self.node.log.info("leaving", running=self.node.running.total())
         self.gossip.announce()
         self.leave_requested.set()
@@ -262,7 +266,7 @@
         those.
         """
         node = self.node
-        end_s = node.now_s() + node.settings.bounds.grace_s - STOP_MARGIN_S
+        end_s = node.leaves_at_s
         await asyncio.sleep(min(BALANCER_DELAY_S, end_s - node.now_s()))
         await self._accept_pending_connections(end_s)
         self.callers.stop()
--- a/src/plantainsail/entry/handler.py
+++ b/src/plantainsail/entry/handler.py
@@ -79,6 +79,13 @@
         timeout_s = route.timeout_s
         if deadline_ms is not None:
             timeout_s = min(timeout_s, deadline_ms / 1000)
+        if self.node.is_too_late_for(arrived_s + timeout_s):
+            caller.closes_connection = True
+            failure = Failure(
+                Code.DRAINING, "the daemon leaves soon", DRAINING_RETRY_AFTER_S
+            )
+            await self._refuse(caller, failure)
+            return
         identifier = caller.get(dialect.request_id) or b""
         request = RoutedRequest(
             identifier.decode("latin-1"),
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -29,6 +29,8 @@
 from plantainsail.routing.revisions import count_of, epoch_of, is_restored
 from plantainsail.runtime.running import RunningWork
 
+NEVER_S = float("inf")
+
 
 class EntryNode:
     """Holds the state of one entry daemon.
@@ -59,6 +61,10 @@
         self.running = RunningWork()
         self.log = get_logger("entry")
         self.is_leaving = False
+        # While the daemon leaves: from when on only requests that end
+        # in time are taken, and when all others are cut.
+        self.last_call_s = NEVER_S
+        self.leaves_at_s = NEVER_S
         self.departures_pending = asyncio.Event()
         self.departures: list[Departure] = []
         # Set when peers should receive this daemon's loads at once.
@@ -82,6 +88,16 @@
         """Return the time of a clock that also runs during suspend."""
         return self.clock.now_s()
 
+    def is_too_late_for(self, deadline_s: float) -> bool:
+        """Return whether a request may be cut as this daemon leaves.
+
+        Early ones are taken anyway, as most end long before their
+        deadline, and callers can't know yet that the daemon leaves.
+        """
+        return self.now_s() >= self.last_call_s and (
+            deadline_s > self.leaves_at_s
+        )
+
     def update_settings(self, settings: EntrySettings) -> None:
         """Apply the bounds and seeds of reloaded settings."""
         self.settings = self.settings._replace(
--- a/tests/test_entry_planned_stop.py
+++ b/tests/test_entry_planned_stop.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from plantainsail.clock import ManualClock
 from plantainsail.entry import daemon as entry_daemon
 from plantainsail.entry.daemon import EntryDaemon
 from tests.standins.routed import (
@@ -148,3 +149,29 @@
     await drain(daemon)
     assert await reader.read() == b""
     writer.close()
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x"])
+async def test_a_late_request_that_may_outlast_the_grace_period_is_refused(
+    path: str,
+) -> None:
+    """It would be cut off without an answer as the process ends."""
+    upstream = StandInUpstream("u0", respond_with(answer()))
+    source = StandInSource(configuration(), (await upstream.start(),))
+    daemon = await start_entry(source)
+    await until(daemon.node.is_ready)
+    caller = StandInCaller(daemon)
+    clock = ManualClock(daemon.node.now_s())
+    daemon.node.clock = clock
+    daemon.leave()
+    assert (await caller.call(path)).status == 200
+    # The grace period is 8 s, and the route's timeout 5 s.
+    clock.advance(3.5)
+    late = await caller.call(path)
+    assert late.status == 503
+    assert late.headers["plantainsail-outcome"] == "not_run"
+    assert "retry-after" in late.headers
+    assert len(upstream.received_requests) == 1
+    assert (await caller.call("/short/x")).status == 200
+    await daemon.stop()
+    upstream.stop()
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -619,7 +619,6 @@
     source = StandInSource(configuration(), (await upstream.start(),))
     daemon = await start_entry(source)
     await until(daemon.node.is_ready)
-    daemon.node.note_cut = lambda _: None  # type: ignore[method-assign]
     for _ in range(len(head)):
         daemon.node.registry.note_success("u1")
         response = await StandInCaller(daemon).call(path)
