--- a/src/plantainsail/entry/waiting.py
+++ b/src/plantainsail/entry/waiting.py
@@ -88,17 +88,20 @@
         """
         now_s = self.node.now_s()
         views: dict[str, ServiceView] = {}
+        starts_s: dict[str, float] = {}
         self.waiters.sort(
             key=lambda waiter: waiting_order(
                 waiter.claim, waiter.prompt_read_s, now_s
             )
         )
         for waiter in list(self.waiters):
-            wait_s = self.node.shortest_wait_s(waiter.service.name)
-            if self._is_hopeless(waiter, now_s, now_s + wait_s):
+            service = waiter.service
+            if service.name not in starts_s:
+                wait_s = self.node.shortest_wait_s(service.name)
+                starts_s[service.name] = now_s + wait_s
+            if self._is_hopeless(waiter, now_s, starts_s[service.name]):
                 self._finish_wait(waiter, None)
                 continue
-            service = waiter.service
             if service.name not in views:
                 views[service.name] = view_service(self.node, service)
             choice = _choose(waiter, views[service.name], now_s)
