--- a/tests/test_hold_offs.py
+++ b/tests/test_hold_offs.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from plantainsail.routing.hold_offs import MAX_HOLD_OFF_S, HoldOffs
+from plantainsail.routing.model import RoutedUpstream
 from tests.standins.office import REQUESTS, TOKENS, Office
 from tests.standins.routed import StandInCaller
 from tests.standins.waiting import until
@@ -83,3 +85,13 @@
     node = office.daemons[0].node
     await until(lambda: node.registry.entries["u0"].born_ms == 9)
     assert await office.send_all("/safe/x") > 0
+
+
+def test_a_pause_is_bounded_and_ends() -> None:
+    upstream = RoutedUpstream("u0", "service", "127.0.0.1:1", "a", 8)
+    hold_offs = HoldOffs()
+    hold_offs.note(upstream, 10 * MAX_HOLD_OFF_S, 5.0)
+    assert hold_offs.wait_s(upstream, 5.0) == MAX_HOLD_OFF_S
+    assert hold_offs.wait_s(upstream, 5.0 + MAX_HOLD_OFF_S) == 0.0
+    hold_offs.forget_ended(5.0 + MAX_HOLD_OFF_S)
+    assert not hold_offs.pauses
