--- a/src/plantainsail/entry/answer_headers.py
+++ b/src/plantainsail/entry/answer_headers.py
@@ -7,10 +7,8 @@
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.upstreams.single_use import AnswerHead
 
-RETRY_AFTER = b"retry-after"
 IS_LEAVING = b"1"
 TURNED_AWAY_STATUS = 503
-MAX_LOGGED_BYTES = 32
 
 
 def note_answer(
@@ -28,7 +26,7 @@
     node: EntryNode, upstream: RoutedUpstream, head: AnswerHead
 ) -> None:
     """Send an upstream nothing for the time that it names, if any."""
-    value = head.get(RETRY_AFTER)
+    value = head.get(node.dialect.retry_after)
     if value is None:
         return
     for_s = parse_decimal(value)
@@ -36,7 +34,7 @@
         node.log.info(
             "upstream pause unreadable",
             upstream=upstream.identifier,
-            value=value[:MAX_LOGGED_BYTES].decode("latin-1"),
+            value=value[: limits.MAX_LOGGED_BYTES].decode("latin-1"),
         )
         return
     if for_s <= 0:
--- a/src/plantainsail/entry/dialect.py
+++ b/src/plantainsail/entry/dialect.py
@@ -17,8 +17,9 @@
     without it can be recognised as foreign.  `rate_limit` in an answer
     is how many requests a second its upstream takes from all daemons
     together, and `leaving` with the value 1 says that its upstream
-    leaves.  `other_internal` are further headers that callers may not
-    set.
+    leaves.  `retry_after` in a refusal is how many seconds its upstream
+    wants no further request.  `other_internal` are further headers that
+    callers may not set.
     """
 
     request_id: bytes = b"plantainsail-request-id"
@@ -29,6 +30,7 @@
     signature: bytes = b"plantainsail-signature"
     rate_limit: bytes = b"plantainsail-rate-limit"
     leaving: bytes = b"plantainsail-leaving"
+    retry_after: bytes = b"retry-after"
     tokens: bytes = b"plantainsail-tokens"
     prompt_parts: bytes = b"plantainsail-prompt-parts"
     length_hint: bytes = b"plantainsail-length-hint"
