Let a cancelled call of the tests' HTTP client end its task

The watchdog showed one task, which polls the readiness of daemons, still running though it was cancelled: the client library loses a cancellation that comes in the step of its answer.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -10,6 +10,7 @@
 from plantainsail.daemon import Daemon
 from plantainsail.policy.retries import ATTEMPTS_PER_RETRY
 from plantainsail.settings import Settings, TimeLimits
+from plantainsail.upstreams.cancellation import CancellationGuard
 from tests.standins.config_service import ConfigService
 from tests.standins.engine import Engine
 from tests.standins.plain_service import PlainService
@@ -207,10 +208,11 @@
     sent = {"content-type": "application/json"} | (headers or {})
     if key is not None:
         sent["authorization"] = f"Bearer {key}"
-    async with aiosonic.HTTPClient() as client:
-        response = await client.request(
-            f"http://{address}{path}", method, headers=sent, data=body
-        )
-        content = await response.content()
+    with CancellationGuard():
+        async with aiosonic.HTTPClient() as client:
+            response = await client.request(
+                f"http://{address}{path}", method, headers=sent, data=body
+            )
+            content = await response.content()
     received = {k.lower(): v for k, v in response.headers.items()}
     return Answer(int(response.status_code), received, content)
