--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""An engine whose failures begin and never end."""
+"""An engine that answers some requests with newlines without end."""
 
 import asyncio
 import itertools
@@ -6,28 +6,30 @@
 from standins import caller
 from standins.case import (
     Case,
+    caller_headers,
     configuration,
     engine_service,
     main,
+    plain_service,
     prompt_headers,
     route,
 )
 from standins.http import Request, chunk, head
-from standins.replica import Channel, Engine
+from standins.replica import Channel, Engine, Replica
 
-SERVICE = "writers"
+ENGINE_SERVICE = "writers"
+PLAIN_SERVICE = "stock"
 ENGINES = 6
-STREAMS = 1200
-START_INTERVAL_S = 0.03
-TIMEOUT_MS = 5000
-AIM_MS = 1800
-DEADLINE_MS = 39000
-# Callers abandon a stream after a gap of four times the objective.
-PATIENCE_S = 7.2
+REPLICAS = 3
+PAIRS = 300
+START_INTERVAL_S = 0.1
+STREAM_TIMEOUT_MS = 6000
+LOOKUP_TIMEOUT_MS = 800
+LOOKUP_DEADLINE_MS = 1500
 # A request is late half a second after its route's timeout.
 SLACK_S = 0.5
 FAILED_SHARE = 0.4
-JUNK_INTERVAL_S = 0.2
+BLOCK = chunk(b"\n" * 32_768)
 
 
 class ShortEngine(Engine):
@@ -36,86 +38,124 @@
     events = 20
 
 
-class GreyEngine(ShortEngine):
-    """An engine that fails a share of its requests without an end.
+class SickEngine(ShortEngine):
+    """An engine that answers a share of its requests with newlines.
 
-    Its health check and its report are good.
+    They come until the caller closes.  The engine's health check and
+    its report are good.
     """
 
-    def __init__(self, *arguments: object, is_grey: bool) -> None:
+    def __init__(self, *arguments: object, is_sick: bool) -> None:
         """Set the attributes."""
         super().__init__(*arguments)  # type: ignore[arg-type]
-        self.is_grey = is_grey
+        self.is_sick = is_sick
         self.requests = itertools.count()
 
     async def serve(self, request: Request, channel: Channel) -> None:
-        """Answer, or fail with a body that goes on and on."""
+        """Answer, or send newlines without end."""
         number = next(self.requests)
         share = int((number + 1) * FAILED_SHARE) - int(number * FAILED_SHARE)
-        if not (self.is_grey and share):
+        if not (self.is_sick and share):
             await super().serve(request, channel)
             return
         identifier = self.note_run(request)
-        fields = self.fields(request) | {"Transfer-Encoding": "chunked"}
+        fields = self.fields(request) | {
+            "Transfer-Encoding": "chunked",
+            "Content-Type": "text/event-stream",
+        }
         writer = channel.writer
-        writer.write(head(500, fields))
-        self.record.add(f"{self.name} fails {identifier} without an end")
-        while not writer.is_closing():
-            writer.write(chunk(b"\x00" * 16))
-            await writer.drain()
-            await asyncio.sleep(JUNK_INTERVAL_S)
+        writer.write(head(200, fields))
+        self.record.add(f"{self.name} sends newlines for {identifier}")
+        sent = 0
+        try:
+            while True:
+                writer.write(BLOCK)
+                sent += len(BLOCK)
+                await writer.drain()
+        finally:
+            self.record.add(
+                f"{self.name} is closed for {identifier}; {sent} bytes"
+            )
 
 
-async def play(case: Case) -> int:
-    """Send streams while one engine fails some of its requests."""
-    fleet = await case.start_store()
-    routes = [route("check", "streaming", SERVICE, TIMEOUT_MS, AIM_MS)]
-    state = configuration(1, routes, [engine_service(SERVICE)])
-    await case.store.put("op/config", state)
+async def start_services(case: Case) -> None:
+    """Start the engines and the replicas of the plain service."""
     peers: dict[str, Engine] = {}
     for number in range(ENGINES):
-        engine = GreyEngine(
+        engine = SickEngine(
             f"i-{number}",
-            SERVICE,
+            ENGINE_SERVICE,
             f"zone-{'abc'[number % 3]}",
             case.store,
             case.record,
             peers,
-            is_grey=case.has_trouble and number == 0,
+            is_sick=case.has_trouble and number == 0,
         )
         await engine.start(case.replica_ip)
+    for number in range(REPLICAS):
+        replica = Replica(
+            f"p-{number}",
+            PLAIN_SERVICE,
+            f"zone-{'abc'[number % 3]}",
+            case.store,
+            case.record,
+        )
+        await replica.start(case.replica_ip)
+
+
+async def play(case: Case) -> int:
+    """Send streams and lookups while one engine is sick."""
+    fleet = await case.start_store()
+    routes = [
+        route("check", "streaming", ENGINE_SERVICE, STREAM_TIMEOUT_MS, 1500),
+        route("lookup", "idempotent", PLAIN_SERVICE, LOOKUP_TIMEOUT_MS, 300),
+    ]
+    services = [engine_service(ENGINE_SERVICE), plain_service(PLAIN_SERVICE)]
+    await case.store.put("op/config", configuration(1, routes, services))
+    await start_services(case)
     await fleet.start_all()
-    calls: list[asyncio.Task[caller.Reply]] = []
-    options = caller.CallerOptions(patience_s=PATIENCE_S)
-    for number in range(STREAMS):
+    streams: list[asyncio.Task[caller.Reply]] = []
+    lookups: list[asyncio.Task[caller.Reply]] = []
+    for number in range(PAIRS):
         machine = fleet.machines[number % len(fleet.machines)]
-        calls.append(
-            asyncio.create_task(
-                caller.send(
-                    machine.frontend,
-                    "POST",
-                    "/check/1",
-                    prompt_headers(f"stream-{number}", DEADLINE_MS),
-                    b"prompt",
-                    options,
-                )
-            )
+        stream = caller.send(
+            machine.frontend,
+            "POST",
+            "/check/1",
+            prompt_headers(f"stream-{number}", STREAM_TIMEOUT_MS),
+            b"prompt",
+            caller.CallerOptions(patience_s=STREAM_TIMEOUT_MS / 1000),
         )
+        lookup = caller.send(
+            machine.frontend,
+            "GET",
+            "/lookup/1",
+            caller_headers(f"lookup-{number}", LOOKUP_DEADLINE_MS),
+            b"",
+            caller.CallerOptions(patience_s=LOOKUP_DEADLINE_MS / 1000),
+        )
+        streams.append(asyncio.create_task(stream))
+        lookups.append(asyncio.create_task(lookup))
         await asyncio.sleep(START_INTERVAL_S)
+    for number, reply in enumerate(await asyncio.gather(*streams)):
+        case.record.add(
+            f"stream-{number}: {reply.status} after {reply.after_s:.2f} s,"
+            f" ended {reply.ended}"
+        )
     unanswered = 0
     late = 0
-    for number, reply in enumerate(await asyncio.gather(*calls)):
+    for number, reply in enumerate(await asyncio.gather(*lookups)):
         case.record.add(
-            f"stream-{number}: {reply.status} after {reply.after_s:.2f} s,"
+            f"lookup-{number}: {reply.status} after {reply.after_s:.2f} s,"
             f" ended {reply.ended}"
         )
-        unanswered += reply.after_s >= TIMEOUT_MS / 1000
-        late += reply.after_s >= TIMEOUT_MS / 1000 + SLACK_S
+        unanswered += reply.after_s >= LOOKUP_TIMEOUT_MS / 1000
+        late += reply.after_s >= LOOKUP_TIMEOUT_MS / 1000 + SLACK_S
     is_broken = late >= 8 and late * 2 > unanswered
     return case.finish(
         is_broken,
-        f"of {STREAMS} requests {unanswered} had no final answer at their"
-        f" route's timeout, {late} none {SLACK_S} s later",
+        f"of {PAIRS} requests to a sound service {unanswered} had no answer"
+        f" at their route's timeout, {late} none {SLACK_S} s later",
     )
 
 
