--- a/review/3/run.py
+++ b/review/3/run.py
@@ -124,7 +124,7 @@
             "/check/1",
             prompt_headers(f"stream-{number}", STREAM_TIMEOUT_MS),
             b"prompt",
-            caller.CallerOptions(patience_s=STREAM_TIMEOUT_MS / 1000),
+            STREAM_TIMEOUT_MS / 1000,
         )
         lookup = caller.send(
             machine.frontend,
@@ -132,7 +132,7 @@
             "/lookup/1",
             caller_headers(f"lookup-{number}", LOOKUP_DEADLINE_MS),
             b"",
-            caller.CallerOptions(patience_s=LOOKUP_DEADLINE_MS / 1000),
+            LOOKUP_DEADLINE_MS / 1000,
         )
         streams.append(asyncio.create_task(stream))
         lookups.append(asyncio.create_task(lookup))
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,87 +1,120 @@
-"""A planned stop while callers on slow lines receive their answers."""
+"""An engine whose failures begin and never end."""
 
 import asyncio
-import signal
+import itertools
 
 from standins import caller
 from standins.case import (
     Case,
-    caller_headers,
     configuration,
+    engine_service,
     main,
-    plain_service,
+    prompt_headers,
     route,
 )
-from standins.http import Request, answer
-from standins.replica import Channel, Replica
+from standins.http import Request, chunk, head
+from standins.replica import Channel, Engine
 
-SERVICE = "ledger"
-CALLERS = 6
-TIMEOUT_MS = 15000
-# The answer takes 6 s on its caller's line, less than the grace period.
-ANSWER_BYTES = 3_000_000
-LINE_BYTES_S = 500_000
-STOP_AFTER_S = 1.0
+SERVICE = "writers"
+ENGINES = 6
+STREAMS = 1200
+START_INTERVAL_S = 0.03
+TIMEOUT_MS = 5000
+AIM_MS = 1800
+DEADLINE_MS = 39000
+# Callers abandon a stream after a gap of four times the objective.
+PATIENCE_S = 7.2
+# A request is late half a second after its route's timeout.
+SLACK_S = 0.5
+FAILED_SHARE = 0.4
+JUNK_INTERVAL_S = 0.2
 
 
-class LedgerReplica(Replica):
-    """A replica that answers with a long list."""
+class ShortEngine(Engine):
+    """An engine whose streams take half a second."""
+
+    events = 20
+
+
+class GreyEngine(ShortEngine):
+    """An engine that fails a share of its requests without an end.
+
+    Its health check and its report are good.
+    """
+
+    def __init__(self, *arguments: object, is_grey: bool) -> None:
+        """Set the attributes."""
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self.is_grey = is_grey
+        self.requests = itertools.count()
 
     async def serve(self, request: Request, channel: Channel) -> None:
-        """Run a request, and answer it whole and at once."""
-        self.note_run(request)
-        body = b"line of the ledger\n" * (ANSWER_BYTES // 19)
-        channel.writer.write(answer(200, self.fields(request), body))
+        """Answer, or fail with a body that goes on and on."""
+        number = next(self.requests)
+        share = int((number + 1) * FAILED_SHARE) - int(number * FAILED_SHARE)
+        if not (self.is_grey and share):
+            await super().serve(request, channel)
+            return
+        identifier = self.note_run(request)
+        fields = self.fields(request) | {"Transfer-Encoding": "chunked"}
+        writer = channel.writer
+        writer.write(head(500, fields))
+        self.record.add(f"{self.name} fails {identifier} without an end")
+        while not writer.is_closing():
+            writer.write(chunk(b"\x00" * 16))
+            await writer.drain()
+            await asyncio.sleep(JUNK_INTERVAL_S)
 
 
 async def play(case: Case) -> int:
-    """Stop the daemon while it still sends answers."""
+    """Send streams while one engine fails some of its requests."""
     fleet = await case.start_store()
-    routes = [route("export", "non_idempotent", SERVICE, TIMEOUT_MS, 5000)]
-    state = configuration(1, routes, [plain_service(SERVICE)])
+    routes = [route("check", "streaming", SERVICE, TIMEOUT_MS, AIM_MS)]
+    state = configuration(1, routes, [engine_service(SERVICE)])
     await case.store.put("op/config", state)
-    for number, zone in enumerate("abc", 1):
-        replica = LedgerReplica(
-            f"i-{number}", SERVICE, f"zone-{zone}", case.store, case.record
+    peers: dict[str, Engine] = {}
+    for number in range(ENGINES):
+        engine = GreyEngine(
+            f"i-{number}",
+            SERVICE,
+            f"zone-{'abc'[number % 3]}",
+            case.store,
+            case.record,
+            peers,
+            is_grey=case.has_trouble and number == 0,
         )
-        await replica.start(case.replica_ip)
+        await engine.start(case.replica_ip)
     await fleet.start_all()
-    # The fleet has been calm for a while.
-    await asyncio.sleep(3.5)
-    machine = fleet.machines[0]
-    options = caller.CallerOptions(line_bytes_s=LINE_BYTES_S)
     calls: list[asyncio.Task[caller.Reply]] = []
-    for number in range(CALLERS):
+    for number in range(STREAMS):
+        machine = fleet.machines[number % len(fleet.machines)]
         calls.append(
             asyncio.create_task(
                 caller.send(
                     machine.frontend,
                     "POST",
-                    "/export/all",
-                    caller_headers(f"export-{number}", TIMEOUT_MS),
-                    b"{}",
-                    options,
+                    "/check/1",
+                    prompt_headers(f"stream-{number}", DEADLINE_MS),
+                    b"prompt",
+                    PATIENCE_S,
                 )
             )
         )
-    await asyncio.sleep(STOP_AFTER_S)
-    if case.has_trouble:
-        fleet.signal(machine, signal.SIGTERM)
-    cut = 0
+        await asyncio.sleep(START_INTERVAL_S)
+    unanswered = 0
+    late = 0
     for number, reply in enumerate(await asyncio.gather(*calls)):
         case.record.add(
-            f"export-{number}: {reply.status}, {len(reply.body)} of"
-            f" {reply.headers.get('content-length')} bytes after"
-            f" {reply.after_s:.2f} s, ended {reply.ended}"
+            f"stream-{number}: {reply.status} after {reply.after_s:.2f} s,"
+            f" ended {reply.ended}"
         )
-        cut += not reply.is_whole
-    if case.has_trouble:
-        process = fleet.processes[machine.name]
-        status = await process.wait()
-        case.record.add(f"{machine.name} has ended with status {status}")
+        unanswered += reply.after_s >= TIMEOUT_MS / 1000
+        late += reply.after_s >= TIMEOUT_MS / 1000 + SLACK_S
+    is_broken = late >= 8 and late * 2 > unanswered
     return case.finish(
-        cut > 0,
-        f"{cut} of {CALLERS} requests that had run got no complete answer",
+        is_broken,
+        f"of {STREAMS} requests {unanswered} had no final answer at their"
+        f" route's timeout, {late} none {SLACK_S} s later",
     )
 
 
