Let a stream whose connection the daemon aborts not end as complete

Cause: the evacuation aborts the connection of the old engine so that the relay continues from the first copy. asyncio shows an own abort to the reader as the end of the data, which is the end of such a body. A second way to the same end: an engine that stops a run for the final copy closes its stream, which looks like its end.

Change: a connection remembers its abort, and an end after it is a cut. While the engine is asked to stop, the end of a stream without a length counts only if the final copy shows that the run had ended before. A resumed stream is judged by its own head. The line `generation resumed` names why the connection before ended.

--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -181,17 +181,19 @@
         headers = remove_hop_by_hop(head.headers)
         await caller.start(head.status, headers)
         while True:
+            reason = "ended while its engine stopped it"
             try:
                 await self._relay_connection()
-                if not head.ends_with_connection:
-                    self._record_sound_run()
-                await caller.end()
-                return
+                continuation = await self._leg_after_end(head)
+                if continuation is None:
+                    await self._end_whole(head)
+                    return
             except CutShortError as error:
+                reason = str(error)
                 continuation = await self._next_leg()
                 if continuation is None:
-                    raise GenerationLostError(str(error)) from error
-                await self._resume_on(continuation)
+                    raise GenerationLostError(reason) from error
+            head = await self._resume_on(continuation, reason)
 
     def start_evacuation(self, noticed_s: float) -> None:
         """Start to move the run off its engine, which will leave.
@@ -329,6 +331,26 @@
         self.node.metrics.pause.observe(pause_s)
         self.longest_pause_s = max(self.longest_pause_s, pause_s)
 
+    async def _end_whole(self, head: AnswerHead) -> None:
+        if not head.ends_with_connection:
+            self._record_sound_run()
+        await self.request.caller.end()
+
+    async def _leg_after_end(self, head: AnswerHead) -> Continuation | None:
+        """Return where a stream goes on that seems to have ended.
+
+        An engine that stops a run for the final copy closes its stream,
+        which without a length looks like its end.  The result of that
+        copy tells which it was: the move has no continuation if the run
+        had ended before.
+        """
+        evacuation = self.evacuation
+        if evacuation is None or not evacuation.is_stopping:
+            return None
+        if not head.ends_with_connection:
+            return None
+        return await self._next_leg()
+
     async def _next_leg(self) -> Continuation | None:
         evacuation = self.evacuation
         if evacuation is None or self.evacuation_task is None:
@@ -341,7 +363,13 @@
         continuation, evacuation.continuation = evacuation.continuation, None
         return continuation
 
-    async def _resume_on(self, continuation: Continuation) -> None:
+    async def _resume_on(
+        self, continuation: Continuation, reason: str
+    ) -> AnswerHead:
+        """Continue the run elsewhere; return the new answer's head.
+
+        `reason` is why the connection before ended.
+        """
         assert self.connection is not None
         self.connection.abort()
         self.move_count += 1
@@ -352,8 +380,16 @@
         if not is_valid_answer_head(head, self.request, self.node.dialect):
             raise GenerationLostError("not its answer")
         self._transfer_reservation(resumed.upstream)
+        self.node.log.info(
+            "generation resumed",
+            request=self.request.identifier,
+            upstream=resumed.upstream.identifier,
+            reason=reason,
+            events=self.positions.count,
+        )
         if not self.node.registry.is_usable(resumed.upstream.identifier):
             self.start_evacuation(self.node.now_s())
+        return head
 
     async def _open_with_fallback(
         self, continuation: Continuation
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -17,6 +17,7 @@
 
 READ_BYTES = 65_536
 CLOSED_EARLY = "connection closed early"
+ABORTED_HERE = "connection aborted by this daemon"
 MAX_HEAD_BYTES = 65_536
 MAX_INTERIM_ANSWERS = 16
 BODILESS_STATUSES = frozenset({204, 304})
@@ -110,6 +111,7 @@
         self.http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self.is_aborted = False
 
     @classmethod
     async def open(
@@ -188,6 +190,11 @@
                     return event
                 data = await self.reader.read(READ_BYTES)
                 is_closed = not data
+                if is_closed and self.is_aborted:
+                    # The reader sees this daemon's own abort as the end
+                    # of the connection, which would end a body without
+                    # a length as a complete one.
+                    raise CutShortError(ABORTED_HERE)
                 self.http.receive_data(data)
             except h11.ProtocolError as error:
                 problem = CLOSED_EARLY if is_closed else "not HTTP"
@@ -196,7 +203,11 @@
                 raise CutShortError("connection reset") from error
 
     def abort(self) -> None:
-        """Close at once, so that the upstream stops its work."""
+        """Close at once, so that the upstream stops its work.
+
+        A pending read raises `CutShortError`.
+        """
+        self.is_aborted = True
         self.writer.transport.abort()
 
 
--- a/tests/standins/moving_engines.py
+++ b/tests/standins/moving_engines.py
@@ -15,6 +15,7 @@
     NOT_EXECUTED,
     STREAM_END,
     STREAM_HEAD,
+    UNFRAMED_HEAD,
     ReceivedRequest,
     StandInUpstream,
     chunk,
@@ -74,6 +75,8 @@
     source_dies: Step = Step.NEVER
     target_dies: Step = Step.NEVER
     ignores_close: bool = False
+    # The answers have neither a length nor chunks.
+    is_unframed: bool = False
     leaves_at: int = 5
     leaves_in_s: float = 2.0
 
@@ -143,7 +146,7 @@
         self.server.stop()
         for run in self.runs.values():
             run.is_stopped = True
-            if run.writer is not None:
+            if run.writer is not None and not run.is_over:
                 reset(run.writer)
         self.copies.clear()
 
@@ -199,7 +202,8 @@
         leg = Leg()
         fleet.legs.append(leg)
         try:
-            writer.write(STREAM_HEAD)
+            is_unframed = fleet.scenario.is_unframed
+            writer.write(UNFRAMED_HEAD if is_unframed else STREAM_HEAD)
             if len(fleet.legs) > 1:
                 self._apply_continue_faults(run)
             await self._generate(run, leg, writer)
@@ -219,13 +223,16 @@
     async def _generate(
         self, run: Run, leg: Leg, writer: asyncio.StreamWriter
     ) -> None:
+        is_unframed = self.fleet.scenario.is_unframed
         while run.made < EVENTS and not run.is_stopped:
-            data = chunk(event(run.made))
+            data = event(run.made)
+            if not is_unframed:
+                data = chunk(data)
             run.made += 1
             leg.overlap_events += leg is not self.fleet.legs[-1]
             await self._write_if_open(writer, data)
             await asyncio.sleep(EVENT_S)
-        if not run.is_stopped:
+        if not run.is_stopped and not is_unframed:
             await self._write_if_open(writer, STREAM_END)
 
     async def _write_if_open(
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -56,12 +56,12 @@
 
 
 NOT_EXECUTED = answer(503, b"", b"plantainsail-not-executed: 1\r\n")
-STREAM_HEAD = (
-    b"HTTP/1.1 200 OK\r\n"
-    + SIGNATURE
-    + b"content-type: text/event-stream\r\n"
-    + b"transfer-encoding: chunked\r\n\r\n"
+EVENT_STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\n" + SIGNATURE + b"content-type: text/event-stream\r\n"
 )
+STREAM_HEAD = EVENT_STREAM_HEAD + b"transfer-encoding: chunked\r\n\r\n"
+# The body has neither a length nor chunks and ends with its connection.
+UNFRAMED_HEAD = EVENT_STREAM_HEAD + b"connection: close\r\n\r\n"
 STREAM_END = b"0\r\n\r\n"
 
 
--- a/tests/test_moves_under_faults.py
+++ b/tests/test_moves_under_faults.py
@@ -167,6 +167,24 @@
         assert result.answer.is_whole, "it could go on elsewhere"
 
 
+@pytest.mark.parametrize("final", CallFault)
+@pytest.mark.parametrize("first", CallFault)
+def test_moved_stream_without_a_length_never_ends_half_way_as_complete(
+    first: CallFault, final: CallFault
+) -> None:
+    """The daemon's abort of the old stream looked like its end."""
+    scenario = Scenario(first=first, final=final, is_unframed=True)
+    check(scenario, asyncio.run(play(scenario)))
+
+
+@pytest.mark.parametrize("step", Step)
+def test_stream_without_a_length_is_not_whole_if_its_engine_dies(
+    step: Step,
+) -> None:
+    scenario = Scenario(source_dies=step, is_unframed=True)
+    check(scenario, asyncio.run(play(scenario)))
+
+
 def fails_somewhere(scenarios: list[Scenario]) -> bool:
     """Return whether the guarantees fail in any of the scenarios."""
     for scenario in scenarios:
