Decode what others wrote with one error, so that no reader ends at it

Cause: each reader listed its decoder's errors by itself, and most lists lacked RecursionError. The task that reads the list ended at the entry, was restarted and ended at it again.

Change: plantainsail.decoding raises one error for any fault, and all readers use it. The line on an unreadable entry names the entry.

--- a/src/plantainsail/api/bodies.py
+++ b/src/plantainsail/api/bodies.py
@@ -4,11 +4,11 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-import msgspec
 import xxhash
 from expression import Error, Ok, Result
 from starlette.requests import ClientDisconnect, Request
 
+from plantainsail.decoding import UndecodableError, decode_json
 from plantainsail.records import RecordError, decode_record
 from plantainsail.results import Code, Failure
 from plantainsail.settings import Settings
@@ -148,8 +148,8 @@
 def parse_json(body: bytes) -> Result[object, Failure]:
     """Return the decoded JSON value of a body."""
     try:
-        return Ok(msgspec.json.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return Ok(decode_json(body))
+    except UndecodableError as error:
         return Error(Failure(Code.MALFORMED_BODY, f"not JSON: {error}"))
 
 
--- a/src/plantainsail/api/tickets.py
+++ b/src/plantainsail/api/tickets.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-import msgspec
 from expression import Error, Ok, Result
 from starlette.datastructures import MutableHeaders
 from starlette.requests import Request
@@ -15,6 +14,7 @@
     TICKET_HEADER,
     json_response,
 )
+from plantainsail.decoding import UndecodableError, decode_json
 from plantainsail.lists.model import Grant, PublishedLists
 from plantainsail.results import Code, Failure, Outcome, outcome_of
 from plantainsail.runtime.node import Node
@@ -142,8 +142,8 @@
 
 def _decode_json_or_text(body: bytes) -> object:
     try:
-        return msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(body)
+    except UndecodableError:
         return body.decode(errors="replace")
 
 
--- a/src/plantainsail/cli/commands.py
+++ b/src/plantainsail/cli/commands.py
@@ -4,10 +4,9 @@
 import asyncio
 import os
 
-import msgspec
-
 from plantainsail.cli.daemon_client import request_json, stream_events
 from plantainsail.cli.output import ExitStatus, print_error
+from plantainsail.decoding import UndecodableError, decode_json
 
 KEY_VARIABLE = "PLANTAINSAIL_KEY"
 CHAT_PATH = "/v1/chat/completions"
@@ -58,7 +57,11 @@
         if data.is_error():
             print_error(data.error.detail)
             return data.error.status
-        event = msgspec.json.decode(data.ok)
+        try:
+            event = decode_json(data.ok)
+        except UndecodableError as error:
+            print_error(f"an event is not JSON: {error}")
+            return ExitStatus.FAILED
         if "error" in event:
             print()
             print_error(event["error"]["message"])
--- a/src/plantainsail/cli/daemon_client.py
+++ b/src/plantainsail/cli/daemon_client.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from plantainsail.cli.output import ExitStatus
+from plantainsail.decoding import UndecodableError, decode_json
 
 CONNECT_TIMEOUT_S = 3.0
 ANSWER_TIMEOUT_S = 10.0
@@ -37,12 +38,12 @@
 def refusal_error(status: int, body: bytes) -> CallError:
     """Return the error described by a daemon's error response."""
     try:
-        error: dict[str, Any] = msgspec.json.decode(body)["error"]
+        error: dict[str, Any] = decode_json(body)["error"]
         detail = (
             f"{error['number']} {error['code']} ({error['outcome']}): "
             f"{error['message']}"
         )
-    except (msgspec.DecodeError, KeyError, TypeError):
+    except (UndecodableError, KeyError, TypeError):
         detail = f"status {status}"
     return CallError(ExitStatus.FAILED, detail)
 
@@ -66,7 +67,10 @@
         return Error(_unreachable(address, error))
     if int(response.status_code) not in (HTTP_OK, HTTP_ACCEPTED):
         return Error(refusal_error(int(response.status_code), body))
-    return Ok(msgspec.json.decode(body))
+    try:
+        return Ok(decode_json(body))
+    except UndecodableError as error:
+        return Error(CallError(ExitStatus.FAILED, f"not JSON: {error}"))
 
 
 async def stream_events(
--- a/src/plantainsail/cli/queries.py
+++ b/src/plantainsail/cli/queries.py
@@ -52,7 +52,7 @@
 def _read_part(file: Path) -> Result[Part, RecordError]:
     try:
         value = json.loads(file.read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Error(RecordError(str(file), "a JSON file", str(error)))
     part = parse_part(str(file), value)
     if part.is_error():
--- a/src/plantainsail/cli/trace.py
+++ b/src/plantainsail/cli/trace.py
@@ -5,9 +5,8 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
-import msgspec
-
 from plantainsail.cli.output import ExitStatus, print_error
+from plantainsail.decoding import UndecodableError, decode_json
 
 HIDDEN_FIELDS = frozenset(
     {"component", "level", "timestamp", "event", "request"}
@@ -70,8 +69,8 @@
         if json_start < 0:
             continue
         try:
-            fields = msgspec.json.decode(text_line[json_start:])
-        except msgspec.DecodeError:
+            fields = decode_json(text_line[json_start:].encode())
+        except UndecodableError:
             continue
         if isinstance(fields, dict):
             yield LogLine(file, line_index, fields)
--- a/src/plantainsail/entry/announcements.py
+++ b/src/plantainsail/entry/announcements.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from plantainsail.decoding import decode
 from plantainsail.entry import limits, suspects
 from plantainsail.entry.node import EntryNode
 from plantainsail.routing.messages import RateLimitReport, SuspectParts
@@ -31,14 +32,14 @@
     def apply(self, data: bytes) -> bool:
         """Apply a message; return False if it is of another kind.
 
-        Raises `msgspec.MsgspecError` if it is malformed.
+        Raises `UndecodableError` if it is malformed.
         """
         if data.startswith(SUSPECTS_PREFIX):
-            parts = SUSPECTS_DECODER.decode(data[1:])
+            parts = decode(SUSPECTS_DECODER, data[1:])
             suspects.apply_message(self.node, parts)
             return True
         if data.startswith(LIMITS_PREFIX):
-            report = LIMITS_DECODER.decode(data[1:])
+            report = decode(LIMITS_DECODER, data[1:])
             limits.apply_report(self.node, report)
             return True
         return False
--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -10,6 +10,7 @@
 import grpc
 import msgspec
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.entry.announcements import Announcements
 from plantainsail.entry.heartbeats import (
     apply_heartbeat,
@@ -105,15 +106,15 @@
             self._send_to_zone(data)
         try:
             if data.startswith(LIST_CHANGE_PREFIX):
-                self._apply_list_change(LIST_CHANGE_DECODER.decode(data[1:]))
+                self._apply_list_change(decode(LIST_CHANGE_DECODER, data[1:]))
                 return
             if data.startswith(INTRODUCTION_PREFIX):
-                self._introduce(INTRODUCTION_DECODER.decode(data[1:]))
+                self._introduce(decode(INTRODUCTION_DECODER, data[1:]))
                 return
             if self.announcements.apply(data):
                 return
-            heartbeat = DECODER.decode(data)
-        except msgspec.MsgspecError as error:
+            heartbeat = decode(DECODER, data)
+        except UndecodableError as error:
             self.node.log.warning("message unreadable", reason=str(error))
             return
         now_s = self.node.now_s()
--- a/src/plantainsail/lists/service_read.py
+++ b/src/plantainsail/lists/service_read.py
@@ -9,9 +9,9 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-import msgspec
 from expression import Error, Ok, Result
 
+from plantainsail import decoding
 from plantainsail.lists.parse import Index, parse_index
 from plantainsail.lists.snapshot import (
     EMPTY_SNAPSHOT,
@@ -64,8 +64,8 @@
 def decode_json(body: bytes) -> Any | None:
     """Return the decoded JSON value, or None if it is malformed."""
     try:
-        return msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        return decoding.decode_json(body)
+    except decoding.UndecodableError:
         return None
 
 
--- a/src/plantainsail/peers/list_parts.py
+++ b/src/plantainsail/peers/list_parts.py
@@ -6,6 +6,7 @@
 import grpc
 import msgspec
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.lists.snapshot import Family
 from plantainsail.lists.start_gate import PeerAnswer
 from plantainsail.lists.store import NEVER_CONFIRMED_S, ListStore
@@ -109,7 +110,7 @@
 def _decode_reply(message: FetchPartsReply) -> PartsReply:
     index: dict[str, int] | None = None
     if message.index:
-        index = INDEX_DECODER.decode(message.index)
+        index = decode(INDEX_DECODER, message.index)
     return PartsReply(
         message.revision,
         message.index_digest,
@@ -225,7 +226,7 @@
             if answer is PeerAnswer.SILENT:
                 answer = _classify_error(error)
             return FetchOutcome(answer, revision, transfer, confirmed_at_s)
-        except msgspec.DecodeError:
+        except UndecodableError:
             return FetchOutcome(answer, revision, transfer, confirmed_at_s)
         transfer.add_reply(reply)
         answer = PeerAnswer.SURE if reply.is_sure else PeerAnswer.STARTING
--- a/src/plantainsail/platform/calls.py
+++ b/src/plantainsail/platform/calls.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from plantainsail.decoding import UndecodableError, decode_json
 from plantainsail.upstreams.single_use import (
     ConnectError,
     CutShortError,
@@ -79,7 +80,7 @@
 
 def _json_or_none(data: bytes) -> Any:
     try:
-        return msgspec.json.decode(data)
-    except msgspec.DecodeError:
+        return decode_json(data)
+    except UndecodableError:
         # Refusals may have no body, and callers need only the status.
         return None
--- a/src/plantainsail/platform/decode.py
+++ b/src/plantainsail/platform/decode.py
@@ -7,8 +7,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-import msgspec
-
+from plantainsail.decoding import UndecodableError, decode_json
 from plantainsail.routing.model import (
     CallerLimits,
     EngineTraits,
@@ -81,8 +80,8 @@
 
 def _decode(value: bytes) -> JsonObject:
     try:
-        raw = msgspec.json.decode(value)
-    except msgspec.DecodeError as error:
+        raw = decode_json(value)
+    except UndecodableError as error:
         raise UnreadableError(str(error)) from error
     if not isinstance(raw, dict):
         raise UnreadableError("not an object")
--- a/src/plantainsail/platform/store.py
+++ b/src/plantainsail/platform/store.py
@@ -177,7 +177,11 @@
         try:
             return decode_upstream(identifier, _decoded_value(item))
         except UnreadableError as error:
-            self.log.info("upstream entry unreadable", reason=str(error))
+            self.log.info(
+                "upstream entry unreadable",
+                upstream=identifier,
+                reason=str(error),
+            )
             return None
 
     def _change(self, event: Any, epoch: int) -> UpstreamChange:
--- a/src/plantainsail/streams/naming.py
+++ b/src/plantainsail/streams/naming.py
@@ -11,6 +11,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.identity import Incarnation
 from plantainsail.results import Code, Failure
 from plantainsail.signing import Signer
@@ -78,8 +79,8 @@
     if payload is None:
         return Error(Failure(Code.STREAM_INVALID, "no such stream name"))
     try:
-        name = DECODER.decode(payload)
-    except msgspec.DecodeError:
+        name = decode(DECODER, payload)
+    except UndecodableError:
         return Error(Failure(Code.STREAM_INVALID, "no such stream name"))
     if name.organisation != organisation:
         return Error(Failure(Code.STREAM_INVALID, "the stream is another's"))
--- a/src/plantainsail/tickets/ticket.py
+++ b/src/plantainsail/tickets/ticket.py
@@ -16,6 +16,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.identity import Incarnation
 from plantainsail.results import Code, Failure, Outcome
 from plantainsail.signing import Signer
@@ -103,8 +104,8 @@
 def decode_ticket(payload: bytes) -> Ticket | None:
     """Return the ticket in a payload, or None if it is malformed."""
     try:
-        wire = DECODER.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        wire = decode(DECODER, payload)
+    except UndecodableError:
         return None
     if wire.version != VERSION or len(wire.identifier) != IDENTIFIER_BYTES:
         return None
--- a/src/plantainsail/upstreams/engine.py
+++ b/src/plantainsail/upstreams/engine.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.lists.model import HostEntry
 from plantainsail.policy.order_owners import ORDER_TIMEOUT_S
 from plantainsail.policy.orders import AnswerKind, Order, OrderAnswer
@@ -80,8 +81,8 @@
     if not data.startswith(DATA_PREFIX):
         raise InvalidEventError
     try:
-        message = CHUNK_DECODER.decode(data[len(DATA_PREFIX) :])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        message = decode(CHUNK_DECODER, data[len(DATA_PREFIX) :])
+    except UndecodableError as error:
         raise InvalidEventError from error
     if message["text"] and not message["tokens"]:
         raise InvalidEventError
@@ -276,8 +277,8 @@
     if answer.status != HTTP_CONFLICT:
         return OrderAnswer(AnswerKind.REFUSED)
     try:
-        message = FENCED_DECODER.decode(answer.body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        message = decode(FENCED_DECODER, answer.body)
+    except UndecodableError:
         return OrderAnswer(AnswerKind.REFUSED)
     return OrderAnswer(AnswerKind.FENCED, message["fencing_number"])
 
--- a/src/plantainsail/upstreams/engine_reports.py
+++ b/src/plantainsail/upstreams/engine_reports.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 from msgspec import Meta
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.lists.model import HostEntry
 from plantainsail.policy.load_reports import LoadReport
 from plantainsail.policy.prefixes import CacheChange
@@ -50,8 +51,8 @@
 def decode_load(engine: HostEntry, body: bytes) -> Result[LoadReport, Failure]:
     """Return the load in an answer, or a failure if it is invalid."""
     try:
-        message = LOAD_DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        message = decode(LOAD_DECODER, body)
+    except UndecodableError:
         return Error(_garbled_failure(engine))
     return Ok(
         LoadReport(
@@ -68,8 +69,8 @@
 ) -> Result[CacheEvents, Failure]:
     """Return the events in an answer, or a failure if it is invalid."""
     try:
-        return Ok(CACHE_EVENTS_DECODER.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Ok(decode(CACHE_EVENTS_DECODER, body))
+    except UndecodableError:
         return Error(_garbled_failure(engine))
 
 
--- a/tests/standins/restorable_store.py
+++ b/tests/standins/restorable_store.py
@@ -14,7 +14,11 @@
 
 
 class Item(NamedTuple):
-    """What the store keeps for a key; `value` is None if removed."""
+    """What the store keeps for a key.
+
+    `value` is None if the item was removed.  Bytes are kept as they
+    are, and any other value as JSON.
+    """
 
     key: str
     value: object
@@ -28,7 +32,10 @@
                 "Revision": self.revision,
                 "Deleted": True,
             }
-        data = base64.b64encode(msgspec.json.encode(self.value))
+        written = self.value
+        if not isinstance(written, bytes):
+            written = msgspec.json.encode(written)
+        data = base64.b64encode(written)
         return {
             "Key": self.key,
             "Value": data.decode(),
