--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -273,7 +273,9 @@
             try:
                 frames = await reader.read()
             except EventTooLongError as error:
-                raise GenerationLostError("an event is too long") from error
+                raise GenerationLostError(
+                    "too much without an event"
+                ) from error
             if frames is None:
                 return
             count = self.positions.count
