Limit the time and size of an engine's error, and answer each timeout

Cause: of a stream's request, opening and relay stood under the time that is left, the body of an error between them did not. Besides, a timeout before the answer had begun was logged and not answered.

Change: head and error body stand under that time, the body also under 2 s and 256 KB; the caller gets 502 with an unknown outcome. A timeout before the answer has begun gets 504.

Measured: two of the three new cases failed before; the third, a fast body, ended at 8 MB.

--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -8,13 +8,13 @@
 from plantainsail.entry.engine_watch import EngineWatch
 from plantainsail.entry.failures import record_failure
 from plantainsail.entry.generation import (
+    HTTP_OK,
     Generation,
     GenerationLostError,
     NotRunError,
 )
 from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
-from plantainsail.entry.plain import MAX_ANSWER_BYTES
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.entry.waiting import Waiter, WaitingQueue
 from plantainsail.results import Code, Failure
@@ -40,6 +40,9 @@
 MIN_RETRY_AFTER_S = 0.5
 RETRY_AFTER_SPREAD_S = 1.5
 MAX_NOT_RUN_ATTEMPTS = 3
+# The body of an error is short and follows its head at once.
+ERROR_BODY_TIMEOUT_S = 2.0
+MAX_ERROR_BYTES = 262_144
 # An engine that sends no answer head for so long counts as failed.
 SILENCE_TIMEOUT_S = 3.0
 
@@ -136,18 +139,14 @@
     async def _run(self, generation: Generation) -> None:
         request = generation.request
         try:
-            try:
-                async with asyncio.timeout(self._remaining_s(request)):
-                    head = await self._open_with_silence_timer(generation)
-            except TimeoutError:
-                failure = Failure(Code.UPSTREAM_TIMEOUT, "no first event")
-                await self._refuse(request, failure)
-                return
-            if head.status != 200:
-                assert generation.connection is not None
-                body = await generation.connection.read_body(MAX_ANSWER_BYTES)
+            async with asyncio.timeout(self._remaining_s(request)):
+                head = await self._open_with_silence_timer(generation)
+                error_body = await self._read_error_body(generation, head)
+            if error_body is not None:
                 self._log_end(generation, f"status {head.status}")
-                await request.caller.answer(head.status, head.headers, body)
+                await request.caller.answer(
+                    head.status, head.headers, error_body
+                )
                 return
             async with asyncio.timeout(self._remaining_s(request)):
                 await generation.relay(head)
@@ -156,6 +155,9 @@
                 self._check_engine_death(generation)
         except TimeoutError:
             self._log_end(generation, "route timeout")
+            if not request.caller.is_answer_started:
+                failure = Failure(Code.UPSTREAM_TIMEOUT, "no first event")
+                await self._refuse(request, failure)
         except (GenerationLostError, CutShortError) as error:
             self._log_end(generation, str(error))
             self._check_engine_death(generation)
@@ -179,6 +181,23 @@
         finally:
             silence_timer.cancel()
 
+    async def _read_error_body(
+        self, generation: Generation, head: AnswerHead
+    ) -> bytes | None:
+        """Return the body of an answer that is no stream, else None.
+
+        Raises `CutShortError` if it does not end in time.
+        """
+        if head.status == HTTP_OK:
+            return None
+        assert generation.connection is not None
+        try:
+            async with asyncio.timeout(ERROR_BODY_TIMEOUT_S):
+                return await generation.connection.read_body(MAX_ERROR_BYTES)
+        except TimeoutError as error:
+            reason = f"the body of a status {head.status} did not end"
+            raise CutShortError(reason) from error
+
     def _check_engine_death(self, generation: Generation) -> None:
         assert generation.upstream is not None
         self.death_checks.start(
--- a/tests/test_entry_endless_answers.py
+++ b/tests/test_entry_endless_answers.py
@@ -13,9 +13,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from plantainsail.entry import generation
+from plantainsail.entry import generation, streaming
 from plantainsail.entry.daemon import EntryDaemon
 from plantainsail.entry.plain import MAX_ANSWER_BYTES
+from plantainsail.entry.streaming import MAX_ERROR_BYTES
 from plantainsail.platform.calls import CallError, call
 from plantainsail.routing.event_frames import (
     MAX_EVENT_BYTES,
@@ -44,6 +45,8 @@
 )
 from tests.standins.waiting import until
 
+# A test that waits in vain fails after this time.
+LIMIT_S = 20.0
 BLOCK = b"x" * 16_384
 # Buffers of both sockets and of the parser hold bytes beyond a limit.
 BUFFERED_BYTES = 8_388_608
@@ -99,7 +102,8 @@
     async def make(serve: Serve) -> Environment:
         upstream = StandInUpstream("u0", serve)
         long = route("/long/", RequestKind.STREAMING, timeout_s=3_600.0)
-        published = configuration(routes=(*ROUTES, long))
+        brief = route("/brief/", RequestKind.STREAMING, timeout_s=0.3)
+        published = configuration(routes=(*ROUTES, long, brief))
         source = StandInSource(published, (await upstream.start(),))
         daemon = await start_entry(source)
         await until(daemon.node.is_ready)
@@ -287,6 +291,39 @@
     assert positions.classify(b"two") is EventContinuity.GAP
 
 
+@pytest.mark.parametrize(
+    ("part", "pause_s"), [(chunk(b"x"), 0.02), (chunk(BLOCK), 0.0)]
+)
+async def test_error_of_an_engine_whose_body_never_ends_is_answered(
+    make_environment: MakeEnvironment,
+    monkeypatch: pytest.MonkeyPatch,
+    part: bytes,
+    pause_s: float,
+) -> None:
+    """Without a time limit for the body, its caller got nothing."""
+    monkeypatch.setattr(streaming, "ERROR_BODY_TIMEOUT_S", 0.2)
+    failed = STREAM_HEAD.replace(b"200 OK", b"500 Broken")
+    endless = EndlessUpstream(failed, part, pause_s)
+    env = await make_environment(endless.serve)
+    async with asyncio.timeout(LIMIT_S):
+        response = await env.caller.call("/long/x")
+        await endless.ended.wait()
+    assert response.status == 502
+    assert response.headers["plantainsail-outcome"] == "unknown"
+    assert endless.sent_bytes < MAX_ERROR_BYTES + BUFFERED_BYTES
+
+
+async def test_error_body_that_outlasts_the_route_gets_504(
+    make_environment: MakeEnvironment,
+) -> None:
+    failed = STREAM_HEAD.replace(b"200 OK", b"500 Broken")
+    endless = EndlessUpstream(failed, chunk(b"x"), pause_s=0.02)
+    env = await make_environment(endless.serve)
+    async with asyncio.timeout(LIMIT_S):
+        response = await env.caller.call("/brief/x")
+    assert response.status == 504
+
+
 async def test_stalled_stream_ends_though_bytes_arrive(
     make_environment: MakeEnvironment, monkeypatch: pytest.MonkeyPatch
 ) -> None:
