Limit what a daemon holds of others' bodies at one time

Reported by another operator: an upstream sent bytes without end, and the host that called it ran out of memory with all its other requests.

Change: one quota for the large bodies of a daemon. What goes over it counts as cut short if it is an answer, and is refused as not run if it is a request. Large answers are written in parts, engines' reports and what connections hold unread are limited. `send failed` says how an answer was cut short.

--- a/src/plantainsail/entry/caller.py
+++ b/src/plantainsail/entry/caller.py
@@ -7,6 +7,7 @@
 from starlette.types import Receive, Scope, Send
 
 from plantainsail.api.responses import failure_response
+from plantainsail.buffers import BufferShare
 from plantainsail.results import Failure
 from plantainsail.upstreams.single_use import (
     BODILESS_STATUSES,
@@ -31,6 +32,7 @@
     }
 )
 CLOSE = (b"connection", b"close")
+ANSWER_PART_BYTES = 65_536
 
 
 class CallerDisconnectedError(Exception):
@@ -45,13 +47,21 @@
     """Reads one request of a caller and writes its answer.
 
     If `closes_connection` is set, the answer's head asks the caller to
-    close the connection.
+    close the connection.  `buffers` counts the bytes that are held for
+    the request: its body, and an answer that is read whole.
     """
 
-    def __init__(self, scope: Scope, receive: Receive, send: Send) -> None:
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        buffers: BufferShare,
+    ) -> None:
         self.scope = scope
         self.receive = receive
         self.send = send
+        self.buffers = buffers
         self.headers: Headers = [
             (bytes(name), bytes(value)) for name, value in scope["headers"]
         ]
@@ -87,16 +97,19 @@
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the whole body.
 
-        Raises `BodyTooLargeError` if it exceeds `limit_bytes`.
+        Raises `BodyTooLargeError` if it exceeds `limit_bytes`, and
+        `OverQuotaError` if all bodies together are too large.
         """
         body = bytearray()
         while True:
             message = await self.receive()
             if message["type"] == "http.disconnect":
                 raise CallerDisconnectedError
-            body += message.get("body", b"")
+            piece = message.get("body", b"")
+            body += piece
             if len(body) > limit_bytes:
                 raise BodyTooLargeError
+            self.buffers.take(len(piece))
             if not message.get("more_body", False):
                 return bytes(body)
 
@@ -161,7 +174,13 @@
         if self.method != b"HEAD" and status not in BODILESS_STATUSES:
             forwarded.append((b"content-length", b"%d" % len(body)))
         await self.start(status, forwarded)
-        await self.end(body)
+        # Each part waits until the caller has taken most of the one
+        # before, so that no second copy of a large body is made.
+        start = 0
+        while len(body) - start > ANSWER_PART_BYTES:
+            await self.write(body[start : start + ANSWER_PART_BYTES])
+            start += ANSWER_PART_BYTES
+        await self.end(body[start:])
 
     async def refuse(self, failure: Failure) -> None:
         """Send a failure as the answer."""
--- a/src/plantainsail/entry/handler.py
+++ b/src/plantainsail/entry/handler.py
@@ -1,7 +1,11 @@
 """Routes and authenticates callers' requests, or refuses them."""
 
+import asyncio
+from typing import NamedTuple
+
 from starlette.types import Receive, Scope, Send
 
+from plantainsail.buffers import OverQuotaError
 from plantainsail.entry.caller import (
     BodyTooLargeError,
     CallerDisconnectedError,
@@ -25,6 +29,15 @@
 STARTING_RETRY_AFTER_S = 0.4
 STALE_RETRY_AFTER_S = 0.6
 DRAINING_RETRY_AFTER_S = 0.02
+LARGE_BODIES_RETRY_AFTER_S = 0.5
+
+
+class Admission(NamedTuple):
+    """The route of a request, its organisation, and their table."""
+
+    table: RoutingTable
+    route: Route
+    organisation: Organisation | None
 
 
 class RequestHandler:
@@ -43,9 +56,12 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        caller = CallerExchange(scope, receive, send)
-        caller.closes_connection = self.node.is_leaving
-        with self.node.running.count("request"):
+        with (
+            self.node.running.count("request"),
+            self.node.buffers.open_share() as buffers,
+        ):
+            caller = CallerExchange(scope, receive, send, buffers)
+            caller.closes_connection = self.node.is_leaving
             try:
                 await self._serve(caller)
             except CallerDisconnectedError:
@@ -56,17 +72,13 @@
     async def _serve(self, caller: CallerExchange) -> None:
         arrived_s = self.node.now_s()
         admission = self._route_and_authenticate(caller)
-        limits = self.node.caller_limits()
-        try:
-            body = await caller.read_body(limits.body_bytes)
-        except BodyTooLargeError:
-            caller.closes_connection = True
-            failure = Failure(Code.BODY_TOO_LARGE, "the body is too long")
-            await self._refuse(caller, failure)
-            return
+        body = await self._read_body(caller, admission)
         if isinstance(admission, Failure):
             await self._refuse(caller, admission)
             return
+        if isinstance(body, Failure):
+            await self._refuse(caller, body)
+            return
         table, route, organisation = admission
         caller.watch_for_disconnect()
         service = self._draw_service(table, route)
@@ -100,6 +112,28 @@
         )
         await caller.cancel_on_disconnect(self._forward(request))
 
+    async def _read_body(
+        self, caller: CallerExchange, admission: Admission | Failure
+    ) -> bytes | Failure:
+        """Return a request's body, or why it is not read to its end."""
+        limits = self.node.caller_limits()
+        timeout_s = limits.idle_s
+        if not isinstance(admission, Failure):
+            timeout_s = admission.route.timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await caller.read_body(limits.body_bytes)
+        except BodyTooLargeError:
+            failure = Failure(Code.BODY_TOO_LARGE, "the body is too long")
+        except TimeoutError:
+            failure = Failure(Code.BODY_TIMEOUT, "the body came too slowly")
+        except OverQuotaError as error:
+            retry_after_s = LARGE_BODIES_RETRY_AFTER_S
+            retry_after_s *= 1.0 + self.node.random.random()
+            failure = Failure(Code.QUEUE_FULL, str(error), retry_after_s)
+        caller.closes_connection = True
+        return failure
+
     async def _forward(self, request: RoutedRequest) -> None:
         if request.route.kind is not RequestKind.STREAMING:
             await self.plain.forward(request)
@@ -108,7 +142,7 @@
 
     def _route_and_authenticate(
         self, caller: CallerExchange
-    ) -> tuple[RoutingTable, Route, Organisation | None] | Failure:
+    ) -> Admission | Failure:
         node = self.node
         table = node.in_force.table
         if table is None or node.registry.revision < 0:
@@ -122,7 +156,7 @@
         if node.is_leaving and route.kind is RequestKind.STREAMING:
             return Failure(Code.DRAINING, "leaving", DRAINING_RETRY_AFTER_S)
         if route.is_anonymous or not table.needs_keys:
-            return table, route, None
+            return Admission(table, route, None)
         if not node.may_use_keys():
             return Failure(
                 Code.LISTS_STALE,
@@ -135,7 +169,7 @@
         organisation = table.find_organisation(key)
         if organisation is None:
             return Failure(Code.UNKNOWN_KEY, "nobody holds the key")
-        return table, route, organisation
+        return Admission(table, route, organisation)
 
     def _bearer_key(self, caller: CallerExchange) -> str | None:
         value = caller.get(b"authorization") or b""
--- a/src/plantainsail/entry/node.py
+++ b/src/plantainsail/entry/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from plantainsail.buffers import BufferQuota
 from plantainsail.clock import Clock
 from plantainsail.entry.dialect import Dialect
 from plantainsail.entry.metrics import EntryMetrics
@@ -59,6 +60,7 @@
         self.budgets: dict[str, RepeatBudget] = {}
         self.metrics = EntryMetrics()
         self.running = RunningWork()
+        self.buffers = BufferQuota()
         self.log = get_logger("entry")
         self.is_leaving = False
         # While the daemon leaves: from when on only requests that end
--- a/src/plantainsail/entry/plain.py
+++ b/src/plantainsail/entry/plain.py
@@ -246,6 +246,9 @@
         self, request: RoutedRequest, upstream: RoutedUpstream
     ) -> SendResult:
         node = self.node
+        buffers = request.caller.buffers
+        # What an attempt before read of its answer is dropped.
+        buffers.release_to(len(request.body))
         try:
             connection = await SingleUseConnection.open(
                 upstream.address, CONNECT_TIMEOUT_S
@@ -264,9 +267,11 @@
             )
             head = await connection.read_head()
             note_answer(node, upstream, head)
-            body = await connection.read_body(MAX_ANSWER_BYTES)
-        except CutShortError:
-            return SendResult(SendOutcome.FAILED, reason=CUT_SHORT)
+            body = await connection.read_body(MAX_ANSWER_BYTES, buffers)
+        except CutShortError as error:
+            return SendResult(
+                SendOutcome.FAILED, reason=CUT_SHORT, detail=str(error)
+            )
         finally:
             connection.abort()
         return classify_answer(head, body, request, node)
@@ -285,6 +290,7 @@
                 request=request.identifier,
                 upstream=upstream.identifier,
                 reason=result.reason,
+                detail=result.detail,
                 outcome=result.outcome.name.lower(),
                 suspect=suspect,
             )
--- a/src/plantainsail/entry/send_results.py
+++ b/src/plantainsail/entry/send_results.py
@@ -28,7 +28,7 @@
     """The outcome of one attempt, with the upstream's answer if any.
 
     `named_limit` is the rate limit that the upstream named in it, in
-    requests a second.
+    requests a second.  `detail` says how an answer was cut short.
     """
 
     outcome: SendOutcome
@@ -37,6 +37,7 @@
     body: bytes = b""
     reason: str = ""
     named_limit: float | None = None
+    detail: str = ""
 
     @property
     def ends_with_connection(self) -> bool:
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -193,7 +193,9 @@
         assert generation.connection is not None
         try:
             async with asyncio.timeout(ERROR_BODY_TIMEOUT_S):
-                return await generation.connection.read_body(MAX_ERROR_BYTES)
+                return await generation.connection.read_body(
+                    MAX_ERROR_BYTES, generation.request.caller.buffers
+                )
         except TimeoutError as error:
             reason = f"the body of a status {head.status} did not end"
             raise CutShortError(reason) from error
@@ -285,6 +287,7 @@
             request=generation.request.identifier,
             upstream=upstream,
             reason=reason,
+            detail="",
             outcome="not_run",
             suspect=self.node.registry.failures.get(upstream, 0),
         )
--- a/src/plantainsail/platform/calls.py
+++ b/src/plantainsail/platform/calls.py
@@ -46,11 +46,15 @@
     target: str,
     timeout_s: float,
     body: object = None,
+    limit_bytes: int = MAX_ANSWER_BYTES,
 ) -> CallAnswer:
-    """Make one call; raise `CallError` if no whole answer comes."""
+    """Make one call; raise `CallError` if no whole answer comes.
+
+    An answer over `limit_bytes` is not read to its end.
+    """
     try:
         async with asyncio.timeout(timeout_s):
-            return await _call(address, method, target, body)
+            return await _call(address, method, target, body, limit_bytes)
     except TimeoutError as error:
         raise CallError(f"no answer in {timeout_s:g} s") from error
     except (ConnectError, CutShortError) as error:
@@ -58,7 +62,11 @@
 
 
 async def _call(
-    address: str, method: bytes, target: str, body: object
+    address: str,
+    method: bytes,
+    target: str,
+    body: object,
+    limit_bytes: int,
 ) -> CallAnswer:
     data = b"" if body is None else msgspec.json.encode(body)
     headers = [
@@ -72,7 +80,7 @@
             OutgoingRequest(method, target.encode(), headers, data)
         )
         head = await connection.read_head()
-        answer = await connection.read_body(MAX_ANSWER_BYTES)
+        answer = await connection.read_body(limit_bytes)
     finally:
         connection.abort()
     return CallAnswer(head.status, _json_or_none(answer), head.headers)
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -6,6 +6,8 @@
 
 COPY_TIMEOUT_S = 2.5
 REPORT_TIMEOUT_S = 0.4
+# A report lists up to some hundred runs.
+MAX_ENGINE_ANSWER_BYTES = 131_072
 HTTP_OK = 200
 
 
@@ -33,6 +35,7 @@
                 "/plantainsail/kv-move",
                 COPY_TIMEOUT_S,
                 body,
+                MAX_ENGINE_ANSWER_BYTES,
             )
         except CallError as error:
             self.log.info("copy failed", request=request, reason=str(error))
@@ -46,7 +49,11 @@
         """Read an engine's report, which is several hundred ms old."""
         try:
             answer = await call(
-                upstream, b"GET", "/plantainsail/report", REPORT_TIMEOUT_S
+                upstream,
+                b"GET",
+                "/plantainsail/report",
+                REPORT_TIMEOUT_S,
+                limit_bytes=MAX_ENGINE_ANSWER_BYTES,
             )
         except CallError as error:
             self.log.debug(
--- a/src/plantainsail/upstreams/http.py
+++ b/src/plantainsail/upstreams/http.py
@@ -16,6 +16,11 @@
 from aiosonic.timeout import Timeouts
 from expression import Error, Ok, Result
 
+from plantainsail.buffers import (
+    BufferQuota,
+    BufferShare,
+    OverQuotaError,
+)
 from plantainsail.results import Code, Failure
 from plantainsail.upstreams.cancellation import CancellationGuard
 from plantainsail.upstreams.connections import (
@@ -178,7 +183,9 @@
         return Failure(
             Code.UPSTREAM_TIMEOUT, f"{upstream} did not answer in time"
         )
-    if isinstance(error, OverlongError | asyncio.LimitOverrunError):
+    if isinstance(
+        error, OverlongError | OverQuotaError | asyncio.LimitOverrunError
+    ):
         return Failure(
             Code.UPSTREAM_OVERLONG, f"{upstream} answered over a limit"
         )
@@ -216,13 +223,20 @@
 
 
 async def read_bounded(
-    response: aiosonic.HttpResponse, limit_bytes: int, upstream: str
+    response: aiosonic.HttpResponse,
+    limit_bytes: int,
+    upstream: str,
+    share: BufferShare,
 ) -> Result[bytes, Failure]:
-    """Return a whole body, or a failure once it exceeds the limit."""
+    """Return a whole body, or a failure once it exceeds the limit.
+
+    Raises `OverQuotaError` if all bodies together are too large.
+    """
     body = bytearray()
     async with aclosing(body_pieces(response)) as pieces:
         async for piece in pieces:
             body += piece
+            share.take(len(piece))
             if len(body) > limit_bytes:
                 return Error(
                     Failure(
@@ -240,9 +254,12 @@
     connect_s: float,
     total_s: float,
     send_state: SendState | None = None,
+    quota: BufferQuota | None = None,
 ) -> Result["WholeAnswer", Failure]:
     """Send a request once and return the whole answer.
 
+    `quota` limits what all answers together may hold.
+
     All exceptions are caught here, since the library raises errors of
     many types for the same broken connection.
     """
@@ -254,7 +271,10 @@
             rejection = check_head(response, request, send_state)
             if rejection is not None:
                 return Error(rejection)
-            body = await read_bounded(response, limit_bytes, request.upstream)
+            with (quota or BufferQuota()).open_share() as share:
+                body = await read_bounded(
+                    response, limit_bytes, request.upstream, share
+                )
     except Exception as error:
         return Error(failure_from_error(error, request.upstream, send_state))
     finally:
--- a/src/plantainsail/upstreams/service.py
+++ b/src/plantainsail/upstreams/service.py
@@ -3,6 +3,7 @@
 import aiosonic
 from expression import Error, Ok, Result
 
+from plantainsail.buffers import BufferQuota
 from plantainsail.lists.model import HostEntry
 from plantainsail.results import Code, Failure
 from plantainsail.upstreams.http import (
@@ -35,6 +36,7 @@
         self.pooled_client = pooled_client
         self.connect_s = connect_s
         self.answer_bytes = answer_bytes
+        self.quota = BufferQuota()
 
     async def call(
         self, service: HostEntry, call: ServiceCall, timeout_s: float
@@ -65,6 +67,7 @@
             self.answer_bytes,
             self.connect_s,
             timeout_s,
+            quota=self.quota,
         )
         if answer.is_error():
             return Error(answer.error)
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -9,14 +9,18 @@
 import asyncio
 import socket
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import h11
 
+from plantainsail.buffers import BufferShare, OverQuotaError
 from plantainsail.settings import split_address
 
 # The most data that is parsed before other tasks run.
 READ_BYTES = 8_192
+# The most that is received at once; up to three times as much is held
+# until it is read.
+RECEIVE_BYTES = 16_384
 CLOSED_EARLY = "connection closed early"
 ABORTED_HERE = "connection aborted by this daemon"
 MAX_HEAD_BYTES = 65_536
@@ -126,10 +130,13 @@
         ip, port = split_address(address)
         try:
             async with asyncio.timeout(connect_s):
-                reader, writer = await asyncio.open_connection(ip, port)
+                reader, writer = await asyncio.open_connection(
+                    ip, port, limit=RECEIVE_BYTES
+                )
         except (OSError, TimeoutError) as error:
             raise ConnectError(address) from error
         _enable_keepalive(writer)
+        _limit_receive_size(writer)
         return cls(reader, writer)
 
     def send(self, request: OutgoingRequest) -> None:
@@ -174,10 +181,13 @@
             return None
         raise CutShortError("the answer was cut short")
 
-    async def read_body(self, limit_bytes: int) -> bytes:
+    async def read_body(
+        self, limit_bytes: int, share: BufferShare | None = None
+    ) -> bytes:
         """Return the whole body of an answer.
 
-        Raises `CutShortError` if it exceeds `limit_bytes`.
+        Raises `CutShortError` if it exceeds `limit_bytes`, or what is
+        left of the quota of `share`.
         """
         body = bytearray()
         while True:
@@ -187,6 +197,8 @@
             body += piece
             if len(body) > limit_bytes:
                 raise CutShortError("the answer is too long")
+            if share is not None:
+                _take(share, len(piece))
 
     async def _next_event(self) -> object:
         is_closed = False
@@ -232,6 +244,22 @@
         self.writer.transport.abort()
 
 
+def _take(share: BufferShare, count: int) -> None:
+    try:
+        share.take(count)
+    except OverQuotaError as error:
+        raise CutShortError(str(error)) from error
+
+
+def _limit_receive_size(writer: asyncio.StreamWriter) -> None:
+    """Receive little at once, so that unread bytes take little memory.
+
+    A transport receives up to 256 KB at once by default.
+    """
+    transport: Any = writer.transport
+    transport.max_size = RECEIVE_BYTES
+
+
 def _enable_keepalive(writer: asyncio.StreamWriter) -> None:
     sock: socket.socket = writer.get_extra_info("socket")
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -17,11 +17,17 @@
 from tests.standins.process import as_json
 from tests.standins.routed import (
     ROUTES,
+    SIGNATURE,
+    ReceivedRequest,
     StandInUpstream,
     answer,
     respond_with,
 )
 
+# The memory of the smallest host that serves callers.
+SMALL_HOST_BYTES = 128_000_000
+ENDLESS_CALLS = 60
+
 
 class EntryProcess:
     """Starts `python -m plantainsail.entry.program` and calls it."""
@@ -98,6 +104,15 @@
         writer.close()
         return int(data.split(b" ")[1]), data
 
+    def peak_memory_bytes(self) -> int:
+        """Return the most memory that the process ever had resident."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        for line in status.splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) * 1024
+        raise ValueError("no peak in the status of the process")
+
     async def log_lines_at_exit(self) -> list[dict[str, object]]:
         """Wait for the process to end and return its log lines."""
         assert self.process is not None
@@ -168,3 +183,27 @@
     file.write_text('{"host": "entry-1"}')
     assert main(["--settings", str(file), "--check"]) == 2
     assert "$.availability_zone" in capsys.readouterr().err
+
+
+async def test_endless_answers_at_once_fit_into_a_small_host(
+    entry: EntryProcess,
+) -> None:
+    """A daemon kept them all, and its other requests ended with it."""
+
+    async def send_endlessly(
+        _: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n" + SIGNATURE + b"\r\n")
+        while True:
+            writer.write(b"x" * 16_384)
+            await writer.drain()
+
+    entry.upstream.serve = send_endlessly
+    caller_address = entry.settings.caller_address
+    statuses = await asyncio.gather(
+        *(entry.get(caller_address, "/once/x") for _ in range(ENDLESS_CALLS))
+    )
+    assert set(statuses) <= {502, 504}
+    assert entry.peak_memory_bytes() < SMALL_HOST_BYTES
+    entry.upstream.serve = respond_with(answer())
+    assert await entry.get(caller_address, "/safe/x") == 200
