Refuse published values that can't be used or passed on

Reported by another operator: one odd entry among those of the upstreams made hosts end again and again, or stop following the list.

Cause: entries and configurations were checked for their types only. A number too large for a message was accepted; then no list could be passed on to a peer, and the watch failed at sending the change. Port 0, names that no header can carry and negative times were accepted as well.

Change: routing.validity says whether an entry or a configuration can be used, and all that takes one in asks it. Revisions and epochs of the store have ranges.

--- a/src/plantainsail/entry/snapshot.py
+++ b/src/plantainsail/entry/snapshot.py
@@ -11,8 +11,13 @@
 import grpc
 import msgspec
 
+from plantainsail.decoding import UndecodableError, decode
 from plantainsail.entry.node import EntryNode
 from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
+from plantainsail.routing.validity import (
+    configuration_problem,
+    upstream_problem,
+)
 
 SERVICE = "plantainsail.EntrySnapshots"
 METHOD = "Get"
@@ -56,6 +61,38 @@
 PutInForce = Callable[[RoutingConfiguration, float | None, str], None]
 
 
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Return a peer's snapshot.
+
+    Raises `UndecodableError` if it is malformed, too large, or holds
+    what can't be used.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        plain = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise UndecodableError(str(error)) from error
+    if not decompressor.eof:
+        raise UndecodableError("cut short, or longer than the limit")
+    snapshot = decode(DECODER, plain)
+    problem = _problem_of(snapshot)
+    if problem is not None:
+        raise UndecodableError(problem)
+    return snapshot
+
+
+def _problem_of(snapshot: Snapshot) -> str | None:
+    if snapshot.configuration is not None:
+        problem = configuration_problem(snapshot.configuration)
+        if problem is not None:
+            return problem
+    for upstream in snapshot.upstreams:
+        problem = upstream_problem(upstream)
+        if problem is not None:
+            return problem
+    return None
+
+
 class SnapshotExchange:
     """Serves snapshots to peers and fetches theirs."""
 
@@ -86,7 +123,7 @@
                 SnapshotRequest(self.node.in_force.version)
             )
             answer: bytes = await call(request, timeout=FETCH_TIMEOUT_S)
-        snapshot = DECODER.decode(zlib.decompress(answer))
+        snapshot = decode_snapshot(answer)
         if snapshot.configuration is not None:
             as_of_s = None
             if snapshot.age_ms >= 0:
@@ -98,7 +135,7 @@
 
     async def _get(self, request: bytes, _: Any) -> bytes:
         node = self.node
-        wanted = REQUEST_DECODER.decode(request)
+        wanted = decode(REQUEST_DECODER, request)
         age_ms = node.in_force.age_ms(node.now_s())
         snapshot = Snapshot(
             self._configuration_after(wanted.version),
--- a/src/plantainsail/platform/decode.py
+++ b/src/plantainsail/platform/decode.py
@@ -19,11 +19,23 @@
     Service,
     WeightedService,
 )
-from plantainsail.settings import is_address
+from plantainsail.routing.validity import (
+    configuration_problem,
+    upstream_problem,
+)
 
 MS_PER_S = 1000.0
 BITS_PER_BYTE = 8
 BITS_PER_MEGABIT = 1_000_000
+MAX_REASON_CHARACTERS = 200
+# What Python raises for values of a wrong type or out of its range.
+CONVERSION_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)
 READY = "ready"
 DRAINING = "draining"
 
@@ -38,44 +50,45 @@
     """Decode the configuration that operators write."""
     raw = _decode(value)
     try:
-        return RoutingConfiguration(
+        configuration = RoutingConfiguration(
             version=int(raw["Version"]),
             routes=tuple(_route(route) for route in raw["Routes"]),
             services=tuple(_service(service) for service in raw["Services"]),
             organisations=_organisations(raw.get("Tenants")),
             limits=_limits(raw.get("Limits") or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise UnreadableError(f"configuration: {error!r}") from error
+    except CONVERSION_ERRORS as error:
+        reason = repr(error)[:MAX_REASON_CHARACTERS]
+        raise UnreadableError(f"configuration: {reason}") from error
+    problem = configuration_problem(configuration)
+    if problem is not None:
+        raise UnreadableError(f"configuration: {problem}")
+    return configuration
 
 
 def decode_upstream(identifier: str, value: bytes) -> RoutedUpstream:
     """Decode the entry that an upstream writes."""
     raw = _decode(value)
     state = raw.get("State")
-    service = raw.get("Service")
     address = raw.get("Address")
-    zone = raw.get("Zone")
-    slots = raw.get("Slots")
-    born = raw.get("born", 0)
-    texts = (service, address, zone)
-    if not all(isinstance(text, str) and text for text in texts):
-        raise UnreadableError(f"upstream {identifier}: a text is missing")
     if state not in (READY, DRAINING):
-        raise UnreadableError(f"upstream {identifier}: state {state!r}")
-    if type(slots) is not int or slots < 1 or type(born) is not int:
-        raise UnreadableError(f"upstream {identifier}: a number is missing")
-    if not _is_ipv4_address(str(address)):
-        raise UnreadableError(f"upstream {identifier}: address {address!r}")
-    return RoutedUpstream(
+        raise UnreadableError("the state is unknown")
+    if not isinstance(address, str) or address.count(":") != 1:
+        # The platform uses only IPv4.
+        raise UnreadableError("the address is no IPv4 address and port")
+    upstream = RoutedUpstream(
         identifier,
-        str(service),
-        str(address),
-        str(zone),
-        slots,
+        raw.get("Service"),  # type: ignore[arg-type]
+        address,
+        raw.get("Zone"),  # type: ignore[arg-type]
+        raw.get("Slots"),  # type: ignore[arg-type]
         state == DRAINING,
-        born,
+        raw.get("born", 0),
     )
+    problem = upstream_problem(upstream)
+    if problem is not None:
+        raise UnreadableError(problem)
+    return upstream
 
 
 def _decode(value: bytes) -> JsonObject:
@@ -88,11 +101,6 @@
     return raw
 
 
-def _is_ipv4_address(address: str) -> bool:
-    # The platform uses only IPv4.
-    return address.count(":") == 1 and is_address(address)
-
-
 def _route(raw: JsonObject) -> Route:
     split = raw.get("TrafficSplit")
     if split:
@@ -148,13 +156,19 @@
         organisations.append(
             Organisation(
                 organisation["Name"],
-                tuple(organisation.get("ApiKeys") or ()),
+                _keys(organisation.get("ApiKeys") or []),
                 None if priority is None else int(priority),
             )
         )
     return tuple(organisations)
 
 
+def _keys(raw: Any) -> tuple[str, ...]:
+    if not isinstance(raw, list):
+        raise TypeError("the keys are no list")
+    return tuple(raw)
+
+
 def _limits(raw: JsonObject) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
--- a/src/plantainsail/platform/store.py
+++ b/src/plantainsail/platform/store.py
@@ -21,12 +21,19 @@
     decode_upstream,
 )
 from plantainsail.routing.model import RoutedUpstream, RoutingConfiguration
-from plantainsail.routing.revisions import count_of, epoch_of, make_revision
+from plantainsail.routing.revisions import (
+    COUNT_MASK,
+    count_of,
+    epoch_of,
+    make_revision,
+)
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
 # The platform calls the epoch an era.
 EPOCH_HEADER = b"store-era"
+# A revision must fit into messages between daemons with its epoch.
+MAX_EPOCH_DIGITS = 6
 READ_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 1.5
 HTTP_OK = 200
@@ -84,9 +91,9 @@
                 target += f"&After={quote(after)}"
             answer = await self._get(target, READ_TIMEOUT_S)
             page = _checked_body(answer)
-            entries = page["Entries"]
+            entries = _items(page.get("Entries"))
             if revision is None:
-                revision = make_revision(answer.epoch, int(page["At"]))
+                revision = _revision(answer.epoch, page.get("At"))
             if answer.epoch != epoch_of(revision):
                 raise HistoryLostError("restored between two pages")
             for item in entries:
@@ -117,8 +124,8 @@
         body = _checked_body(answer)
         configurations: list[RoutingConfiguration] = []
         upstreams: list[UpstreamChange] = []
-        for event in body["events"]:
-            key = str(event["Key"])
+        for event in _items(body.get("events")):
+            key = event["Key"]
             if key == CONFIGURATION_KEY and not event.get("Deleted"):
                 configuration = self._configuration(event, epoch)
                 if configuration is not None:
@@ -128,7 +135,7 @@
         return Changes(
             tuple(configurations),
             tuple(upstreams),
-            make_revision(epoch, int(body["At"])),
+            _revision(epoch, body.get("At")),
         )
 
     async def _get(self, target: str, timeout_s: float) -> StoreAnswer:
@@ -148,8 +155,8 @@
         value = answer.get(EPOCH_HEADER)
         if value is None:
             return self.epoch
-        if not value.isdigit():
-            raise SourceError(f"epoch {value!r}")
+        if not value.isdigit() or len(value) > MAX_EPOCH_DIGITS:
+            raise SourceError("the epoch is no small number")
         epoch = int(value)
         if epoch < self.epoch:
             raise SourceError("answer from before a restoration")
@@ -159,7 +166,7 @@
     def _configuration(
         self, item: Any, epoch: int
     ) -> RoutingConfiguration | None:
-        revision = make_revision(epoch, int(item["Revision"]))
+        revision = _revision(epoch, item.get("Revision"))
         if revision == self.last_revision:
             return self.last_configuration
         try:
@@ -173,7 +180,7 @@
         return self.last_configuration
 
     def _upstream(self, item: Any) -> RoutedUpstream | None:
-        identifier = str(item["Key"]).removeprefix(UPSTREAM_PREFIX)
+        identifier = item["Key"].removeprefix(UPSTREAM_PREFIX)
         try:
             return decode_upstream(identifier, _decoded_value(item))
         except UnreadableError as error:
@@ -185,14 +192,30 @@
             return None
 
     def _change(self, event: Any, epoch: int) -> UpstreamChange:
-        identifier = str(event["Key"]).removeprefix(UPSTREAM_PREFIX)
+        identifier = event["Key"].removeprefix(UPSTREAM_PREFIX)
         upstream = None
         if not event.get("Deleted"):
             upstream = self._upstream(event)
-        revision = make_revision(epoch, int(event["Revision"]))
+        revision = _revision(epoch, event.get("Revision"))
         return UpstreamChange(identifier, upstream, revision)
 
 
+def _items(value: object) -> list[dict[str, Any]]:
+    """Return the items of a list of the store."""
+    if not isinstance(value, list):
+        raise SourceError("an answer without its items")
+    for item in value:
+        if not isinstance(item, dict) or type(item.get("Key")) is not str:
+            raise SourceError("an item without a key")
+    return value
+
+
+def _revision(epoch: int, count: object) -> int:
+    if type(count) is not int or not 0 <= count <= COUNT_MASK:
+        raise SourceError("a revision is no number in its range")
+    return make_revision(epoch, count)
+
+
 def _checked_body(answer: StoreAnswer) -> Any:
     if answer.status != HTTP_OK or not isinstance(answer.body, dict):
         raise SourceError(f"status {answer.status}")
