Count each fault of a settings or published file as unreadable

Cause: a large number or deep nesting in a settings file, and a syntax error in a published one, raised errors that their readers did not expect. The tasks that read them again ended each time, and a bound that is no number passed the check.

Change: all errors of reading and converting are errors of the file. Bounds must be finite, and all addresses are checked.

--- a/src/plantainsail/entry/file_source.py
+++ b/src/plantainsail/entry/file_source.py
@@ -24,8 +24,6 @@
 from pathlib import Path
 from typing import NamedTuple
 
-import pyjson5
-
 from plantainsail.entry.source import (
     Changes,
     PublishedConfiguration,
@@ -33,7 +31,7 @@
     SourceError,
     UpstreamChange,
 )
-from plantainsail.records import decode_record
+from plantainsail.logs import get_logger
 from plantainsail.routing.model import (
     CallerLimits,
     Organisation,
@@ -42,6 +40,11 @@
     RoutingConfiguration,
     Service,
 )
+from plantainsail.routing.validity import (
+    configuration_problem,
+    upstream_problem,
+)
+from plantainsail.settings import parse_record, read_text
 
 POLL_INTERVAL_S = 0.2
 
@@ -62,6 +65,7 @@
 
     def __init__(self, file: Path) -> None:
         self.file = file
+        self.log = get_logger("file")
         self.last_published: PublishedFile | None = None
 
     async def read_configuration(self) -> PublishedConfiguration:
@@ -99,14 +103,36 @@
         )
 
     def _read(self) -> PublishedFile:
-        try:
-            value = pyjson5.decode(self.file.read_text(encoding="utf-8"))
-        except (OSError, ValueError) as error:
-            raise SourceError(f"{self.file}: {error}") from error
-        record = decode_record(PublishedFile, value, "$")
+        text = read_text(self.file)
+        record = text.bind(
+            lambda content: parse_record(
+                PublishedFile, content, str(self.file)
+            )
+        )
         if record.is_error():
-            raise SourceError(f"{self.file}: {record.error}")
-        return record.ok
+            raise SourceError(str(record.error))
+        published = record.ok
+        problem = configuration_problem(_configuration_of(published))
+        if problem is not None:
+            raise SourceError(f"{self.file}: {problem}")
+        return published._replace(upstreams=self._usable(published.upstreams))
+
+    def _usable(
+        self, upstreams: tuple[RoutedUpstream, ...]
+    ) -> tuple[RoutedUpstream, ...]:
+        """Return the upstreams that can be used, and log the others."""
+        usable: list[RoutedUpstream] = []
+        for upstream in upstreams:
+            problem = upstream_problem(upstream)
+            if problem is None:
+                usable.append(upstream)
+                continue
+            self.log.info(
+                "upstream entry unreadable",
+                upstream=upstream.identifier,
+                reason=problem,
+            )
+        return tuple(usable)
 
 
 def _configuration_of(published: PublishedFile) -> RoutingConfiguration:
--- a/src/plantainsail/entry/settings.py
+++ b/src/plantainsail/entry/settings.py
@@ -13,6 +13,7 @@
     }
 """
 
+import math
 from pathlib import Path
 from typing import NamedTuple
 
@@ -80,14 +81,18 @@
         "readiness_address": settings.readiness_address,
         "peer_address": settings.peer_address,
     }
+    if settings.metrics_address is not None:
+        addresses["metrics_address"] = settings.metrics_address
+    if settings.published_address is not None:
+        addresses["published_address"] = settings.published_address
     for index, seed in enumerate(settings.seed_addresses):
         addresses[f"seed_addresses[{index}]"] = seed
     for name, address in addresses.items():
-        if not is_address(address):
+        if not isinstance(address, str) or not is_address(address):
             problem = f"expected an IP number and a port, found {address!r}"
             return Error(SettingsError(file, f"$.{name}", problem))
     for name, bound in settings.bounds._asdict().items():
-        if bound < 0:
+        if not 0 <= bound < math.inf:
             problem = f"expected a positive number, found {bound!r}"
             return Error(SettingsError(file, f"$.bounds.{name}", problem))
     return Ok(settings)
--- a/src/plantainsail/platform/settings.py
+++ b/src/plantainsail/platform/settings.py
@@ -12,6 +12,7 @@
     EntrySettings,
     check_entry_settings,
 )
+from plantainsail.platform.decode import CONVERSION_ERRORS
 from plantainsail.settings import SettingsError
 
 SETTINGS_VARIABLE = "PLANTAINSAIL_CONFIG"
@@ -24,13 +25,13 @@
     """Read and check the file; unknown fields are ignored."""
     try:
         raw = tomllib.loads(file.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Error(SettingsError(str(file), "file", str(error)))
     try:
         settings = _settings(raw)
-    except KeyError as error:
+    except LookupError as error:
         return Error(SettingsError(str(file), str(error), "is missing"))
-    except (TypeError, ValueError, AttributeError) as error:
+    except CONVERSION_ERRORS as error:
         return Error(SettingsError(str(file), "a value", str(error)))
     return check_entry_settings(settings, str(file))
 
