Refuse messages of peers that would end a task later

Cause: addresses of members were kept as they came, and the task that sends heartbeats ended at a malformed one, again and again. A speed of 0, or one that is no number, made each placement fail.

Change: a heartbeat from an unusable address is refused, unusable members and changes of lists are left out, and the decoder checks the ranges of speeds and limits.

--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -34,6 +34,7 @@
     LoadEntry,
 )
 from plantainsail.routing.spread import Receivers, choose_receivers
+from plantainsail.routing.validity import is_usable_address, upstream_problem
 from plantainsail.settings import split_address
 
 LOAD_CHANGE_DELAY_S = 0.004
@@ -113,7 +114,7 @@
                 return
             if self.announcements.apply(data):
                 return
-            heartbeat = decode(DECODER, data)
+            heartbeat = self._checked(decode(DECODER, data))
         except UndecodableError as error:
             self.node.log.warning("message unreadable", reason=str(error))
             return
@@ -128,6 +129,22 @@
         apply_heartbeat(self.node, heartbeat, now_s)
         self._fetch_if_behind(member, now_s)
 
+    def _checked(self, heartbeat: Heartbeat) -> Heartbeat:
+        """Return a heartbeat without members that can't be sent to.
+
+        Raises `UndecodableError` if its sender can't be.
+        """
+        known = self.node.members.members
+        if heartbeat.address not in known and not is_usable_address(
+            heartbeat.address
+        ):
+            raise UndecodableError("the sender's address is malformed")
+        members: list[str] = []
+        for address in heartbeat.members:
+            if address in known or is_usable_address(address):
+                members.append(address)
+        return heartbeat._replace(members=tuple(members))
+
     def error_received(self, error: Exception) -> None:
         """Log that a message could not be sent."""
         self.node.log.debug("message not sent", reason=str(error))
@@ -152,6 +169,11 @@
         self._spread(data, self.node.members.live(now_s))
 
     def _apply_list_change(self, change: ListChange) -> None:
+        for upstream in change.written:
+            problem = upstream_problem(upstream)
+            if problem is not None:
+                self.node.log.warning("message unreadable", reason=problem)
+                return
         registry = self.node.registry
         # The message has all changes after revision `after`, some of
         # which may be applied already.
@@ -377,7 +399,7 @@
         member = node.random.choice(members)
         try:
             await self.snapshots.fetch(member.address)
-        except (grpc.aio.AioRpcError, msgspec.MsgspecError) as error:
+        except (grpc.aio.AioRpcError, UndecodableError) as error:
             node.log.warning(
                 "peer snapshot not fetched",
                 peer=member.address,
--- a/src/plantainsail/routing/messages.py
+++ b/src/plantainsail/routing/messages.py
@@ -1,11 +1,18 @@
 """The messages that entry daemons exchange by datagrams."""
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
 
 from plantainsail.routing.fleet_loads import UpstreamLoad
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.pace import Pace
 
+# Decoders refuse numbers out of these ranges, and those that are none.
+Rate = Annotated[float, Meta(gt=0, le=1e9)]
+Limit = Annotated[float, Meta(ge=0, le=1e64)]
+Tokens = Annotated[float, Meta(ge=-1e66, le=1e66)]
+
 
 class LoadEntry(NamedTuple):
     """A daemon's own load on one upstream, and the speeds it saw.
@@ -17,7 +24,7 @@
     identifier: str
     load: UpstreamLoad
     pace: Pace | None = None
-    read_tokens_s: float | None = None
+    read_tokens_s: Rate | None = None
 
 
 class SuspectEntry(NamedTuple):
@@ -133,10 +140,10 @@
     """
 
     identifier: str
-    per_s: float | None
+    per_s: Limit | None
     age_ms: int
     sent: int
-    tokens: float
+    tokens: Tokens
 
 
 class RateLimitReport(NamedTuple):
--- a/src/plantainsail/routing/pace.py
+++ b/src/plantainsail/routing/pace.py
@@ -8,7 +8,9 @@
 """
 
 from collections import deque
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
 
 # The pauses between events that are kept of an engine, and those needed
 # to compute its usual pause.
@@ -21,6 +23,8 @@
 # Shorter pauses mean that events were delivered together; they say
 # nothing about the engine.
 MIN_PAUSE_S = 0.004
+# Peers report no longer pause.
+MAX_PAUSE_S = 1e6
 # An older pause does not count as the newest pause of an engine.
 RECENT_WINDOW_S = 0.5
 # An engine's usual pause is this quantile of the kept ones.
@@ -33,8 +37,8 @@
     `recent_s` is 0 if the engine sent no event recently.
     """
 
-    usual_s: float
-    recent_s: float
+    usual_s: Annotated[float, Meta(ge=0, le=MAX_PAUSE_S)]
+    recent_s: Annotated[float, Meta(ge=0, le=MAX_PAUSE_S)]
 
 
 class Sample(NamedTuple):
