Refuse numbers and names in answers that can't be used

Cause: a number with thousands of digits in a header or an event failed its request, a decimal one could be infinite, and a notice too large ended the task that watches engines. A status above 599 and a name of a copy that no header can carry failed the request that met them.

Change: each is checked where it is read, and counts as missing, as cut short, or as a copy that failed.

--- a/src/plantainsail/entry/dialect.py
+++ b/src/plantainsail/entry/dialect.py
@@ -8,6 +8,9 @@
 
 MAX_PROMPT_PARTS = 64
 MAX_PART_NAME_BYTES = 64
+MAX_COUNT_DIGITS = 9
+# A longer number may be infinite.
+MAX_DECIMAL_BYTES = 64
 
 
 class Dialect(NamedTuple):
@@ -72,9 +75,11 @@
     A missing or malformed value gives the counts of a small request.
     """
     prompt, _, output = (value or b"").partition(b",")
-    if not (prompt.strip().isdigit() and output.strip().isdigit()):
-        return DEFAULT_TOKEN_COUNTS
-    return TokenCounts(int(prompt), int(output))
+    counts = (prompt.strip(), output.strip())
+    for count in counts:
+        if not count.isdigit() or len(count) > MAX_COUNT_DIGITS:
+            return DEFAULT_TOKEN_COUNTS
+    return TokenCounts(int(counts[0]), int(counts[1]))
 
 
 def parse_prompt_parts(value: bytes | None) -> tuple[str, ...]:
@@ -94,8 +99,13 @@
 
 
 def parse_decimal(value: bytes | None) -> float | None:
-    """Parse a number without sign or exponent; None if malformed."""
+    """Parse a number without sign or exponent.
+
+    A malformed one, or one with too many digits, gives None.
+    """
     text = (value or b"").strip()
+    if len(text) > MAX_DECIMAL_BYTES:
+        return None
     if not text.replace(b".", b"", 1).isdigit():
         return None
     return float(text)
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -3,11 +3,13 @@
 from plantainsail.entry.mover import CopyResult, DepartureStatus
 from plantainsail.logs import get_logger
 from plantainsail.platform.calls import CallError, call
+from plantainsail.routing.validity import is_name
 
 COPY_TIMEOUT_S = 2.5
 REPORT_TIMEOUT_S = 0.4
 # A report lists up to some hundred runs.
 MAX_ENGINE_ANSWER_BYTES = 131_072
+MAX_NOTICE_MS = 1e9
 HTTP_OK = 200
 
 
@@ -42,7 +44,13 @@
             return CopyResult(0)
         handle = ""
         if isinstance(answer.body, dict):
-            handle = str(answer.body.get("KvHandle") or "")
+            handle = answer.body.get("KvHandle") or ""
+        if handle and not is_name(handle):
+            # No header could name the copy.
+            self.log.info(
+                "copy failed", request=request, reason="malformed handle"
+            )
+            return CopyResult(0)
         return CopyResult(answer.status, handle)
 
     async def departure_status(self, upstream: str) -> DepartureStatus | None:
@@ -64,7 +72,9 @@
             return None
         leaves_ms = answer.body.get("leaves_ms")
         leaves_in_s = None
-        if isinstance(leaves_ms, int | float):
+        if isinstance(leaves_ms, int | float) and (
+            0 <= leaves_ms <= MAX_NOTICE_MS
+        ):
             leaves_in_s = leaves_ms / 1000
         return DepartureStatus(
             answer.body.get("State") == "draining", leaves_in_s
--- a/src/plantainsail/routing/positions.py
+++ b/src/plantainsail/routing/positions.py
@@ -17,6 +17,14 @@
     GAP = auto()
 
 
+# Python converts no number with very many digits.
+MAX_ID_DIGITS = 20
+
+
+def _is_number(event_id: bytes) -> bool:
+    return event_id.isdigit() and len(event_id) <= MAX_ID_DIGITS
+
+
 class EventPositions:
     """Tracks the event identifiers of one stream.
 
@@ -37,9 +45,9 @@
         counts as the next one.  After a numeric identifier, an event
         without one does not belong to the stream.
         """
-        if not self.last_id.isdigit():
+        if not _is_number(self.last_id):
             return self._accept(event_id)
-        if not event_id.isdigit():
+        if not _is_number(event_id):
             return EventContinuity.GAP
         step = int(event_id) - int(self.last_id)
         if step <= 0:
--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -27,6 +27,7 @@
 MAX_INTERIM_ANSWERS = 16
 # Bounds the time to parse all heads of one answer.
 MAX_HEADS_BYTES = 131_072
+LAST_STATUS = 599
 BODILESS_STATUSES = frozenset({204, 304})
 # TCP keepalive probes detect a peer that vanished without closing.
 KEEPALIVE_IDLE_S = 2
@@ -165,6 +166,9 @@
                     break
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > LAST_STATUS:
+                    # No answer to the caller can have such a status.
+                    raise CutShortError("unknown status")
                 return AnswerHead(event.status_code, list(event.headers))
             break
         raise CutShortError("no answer")
