Hold bodies of the other daemon's callers under one quota, too

Cause: plantainsail.daemon limits each body that it reads, but not all together, as the entry daemon did. Its calls to services have the same quota now. Besides, the published file is read five times a second, so an odd entry in it is logged once.

Measured: the new test got 400 in place of 429 before (no limit in the code); it passes now.

--- a/src/plantainsail/api/bodies.py
+++ b/src/plantainsail/api/bodies.py
@@ -8,12 +8,14 @@
 from expression import Error, Ok, Result
 from starlette.requests import ClientDisconnect, Request
 
+from plantainsail.buffers import BufferQuota, OverQuotaError
 from plantainsail.decoding import UndecodableError, decode_json
 from plantainsail.records import RecordError, decode_record
 from plantainsail.results import Code, Failure
 from plantainsail.settings import Settings
 
 # Of longer chats only the first messages are compared with others.
+LARGE_BODIES_RETRY_AFTER_S = 1.0
 MAX_PROMPT_PARTS = 64
 DEFAULT_MAX_TOKENS = 1_024
 MAX_MAX_TOKENS = 131_072
@@ -122,15 +124,20 @@
 
 
 async def read_body(
-    request: Request, settings: Settings
+    request: Request, settings: Settings, quota: BufferQuota
 ) -> Result[bytes, Failure]:
-    """Return the whole body, within the limits of size and time."""
+    """Return the whole body, within the limits of size and time.
+
+    `quota` limits what the bodies that arrive at one time may hold.
+    """
     limit = settings.limits.body_bytes
+    share = quota.open_share()
     body = bytearray()
     try:
         async with asyncio.timeout(settings.time_limits.body_s):
             async for chunk in request.stream():
                 body += chunk
+                share.take(len(chunk))
                 if len(body) > limit:
                     return Error(
                         Failure(
@@ -138,10 +145,15 @@
                             f"the body is over {limit} bytes",
                         )
                     )
+    except OverQuotaError as error:
+        retry_after_s = LARGE_BODIES_RETRY_AFTER_S
+        return Error(Failure(Code.QUEUE_FULL, str(error), retry_after_s))
     except TimeoutError:
         return Error(Failure(Code.BODY_TIMEOUT, "the body came too slowly"))
     except ClientDisconnect:
         return Error(Failure(Code.BODY_TIMEOUT, "the caller left"))
+    finally:
+        share.release_to(0)
     return Ok(bytes(body))
 
 
--- a/src/plantainsail/api/commands.py
+++ b/src/plantainsail/api/commands.py
@@ -113,7 +113,7 @@
     request: Request, caller: Caller, shape: Shape
 ) -> Result[GenerationBody, Failure]:
     node = node_of(request)
-    received = await read_body(request, node.settings)
+    received = await read_body(request, node.settings, node.buffers)
     parse = parse_chat if shape.is_chat else parse_completion
     body = received.bind(parse_json).bind(parse)
     if body.is_error():
@@ -184,7 +184,7 @@
     )
     if is_idempotent.is_error():
         return Error(is_idempotent.error)
-    body = await read_body(request, node.settings)
+    body = await read_body(request, node.settings, node.buffers)
     checked = body.bind(parse_json)
     if checked.is_error():
         return Error(checked.error)
--- a/src/plantainsail/entry/file_source.py
+++ b/src/plantainsail/entry/file_source.py
@@ -66,6 +66,9 @@
     def __init__(self, file: Path) -> None:
         self.file = file
         self.log = get_logger("file")
+        # Those that were logged; the file is read several times a
+        # second.
+        self.unusable: set[str] = set()
         self.last_published: PublishedFile | None = None
 
     async def read_configuration(self) -> PublishedConfiguration:
@@ -126,12 +129,14 @@
             problem = upstream_problem(upstream)
             if problem is None:
                 usable.append(upstream)
-                continue
-            self.log.info(
-                "upstream entry unreadable",
-                upstream=upstream.identifier,
-                reason=problem,
-            )
+                self.unusable.discard(upstream.identifier)
+            elif upstream.identifier not in self.unusable:
+                self.unusable.add(upstream.identifier)
+                self.log.info(
+                    "upstream entry unreadable",
+                    upstream=upstream.identifier,
+                    reason=problem,
+                )
         return tuple(usable)
 
 
--- a/src/plantainsail/runtime/node_core.py
+++ b/src/plantainsail/runtime/node_core.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from plantainsail.buffers import BufferQuota
 from plantainsail.clock import Clock
 from plantainsail.identity import Incarnation, draw_incarnation
 from plantainsail.lists.store import ListStore
@@ -61,6 +62,7 @@
         )
         self.marks = LeavingMarks()
         self.running = RunningWork()
+        self.buffers = BufferQuota()
         self.http = make_client()
         self.pooled_http = make_pooled_client()
         self.engines = HttpEngineClient(self.http, settings.time_limits)
@@ -69,6 +71,7 @@
             self.pooled_http,
             settings.time_limits.connect_s,
             settings.limits.answer_bytes,
+            self.buffers,
         )
         self.streams = LiveStreams()
         self.quarantine = Quarantine()
--- a/src/plantainsail/upstreams/service.py
+++ b/src/plantainsail/upstreams/service.py
@@ -31,12 +31,13 @@
         pooled_client: aiosonic.HTTPClient,
         connect_s: float,
         answer_bytes: int,
+        quota: BufferQuota,
     ) -> None:
         self.client = client
         self.pooled_client = pooled_client
         self.connect_s = connect_s
         self.answer_bytes = answer_bytes
-        self.quota = BufferQuota()
+        self.quota = quota
 
     async def call(
         self, service: HostEntry, call: ServiceCall, timeout_s: float
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -18,8 +18,10 @@
     BufferShare,
     OverQuotaError,
 )
+from plantainsail.daemon import Daemon
 from plantainsail.entry.daemon import EntryDaemon
 from plantainsail.routing.model import RequestKind
+from tests.standins.platform import call
 from tests.standins.routed import (
     ROUTES,
     SIGNATURE,
@@ -214,3 +216,17 @@
         with share:
             pass
     assert quota.used_bytes == 0
+
+
+async def test_large_body_at_the_other_daemon_is_refused_as_not_run(
+    daemon: Daemon, address: str
+) -> None:
+    """Its bodies, each within a limit, had none all together."""
+    daemon.node.buffers.used_bytes = daemon.node.buffers.limit_bytes
+    body = b'{"prompt": "' + b"x" * 2 * FREE_BYTES + b'"}'
+    refused = await call(address, "POST", "/v1/completions", body)
+    assert refused.status == 429
+    assert refused.headers["plantainsail-outcome"] == "not_run"
+    small = await call(address, "POST", "/v1/completions", b"{}")
+    assert small.status == 400
+    assert daemon.node.buffers.used_bytes == daemon.node.buffers.limit_bytes
