Play endless answers and odd entries in the soak

Change: upstreams answer a share of their requests by bytes without an end, in a head, a body, a stream or an error, and another writer puts entries among the upstreams that can't be used. No daemon may outgrow the memory of a small host.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,6 +13,8 @@
 
 START_TIMEOUT_S = 20.0
 GRACE_S = 3.0
+# The memory of the smallest host that serves callers.
+SMALL_HOST_BYTES = 128_000_000
 GIVEN_ADDRESSES: set[str] = set()
 
 
@@ -38,6 +40,18 @@
             return address
 
 
+def peak_memory_bytes(process: int) -> int:
+    """Return the most memory that a process had resident, or 0."""
+    try:
+        status = Path(f"/proc/{process}/status").read_text()
+    except OSError:
+        return 0
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
 class SoakDaemon:
     """An entry daemon process that can be suspended or killed."""
 
@@ -101,6 +115,12 @@
             return False
         return b" 200 " in line
 
+    def peak_memory_bytes(self) -> int:
+        """Return the most memory that the process had, or 0."""
+        if self.process is None:
+            return 0
+        return peak_memory_bytes(self.process.pid)
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process unless it has ended."""
         if self.process is None or self.process.returncode is not None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,8 +6,9 @@
 answer is complete and belongs to its request; a request that is not
 idempotent runs at most once; a request reported as not run did not
 run; a key that was revoked long ago does not work; requests are served
-again once all faults have ended; and from then on an upstream that
-names a rate limit gets no more than that.
+again once all faults have ended; from then on an upstream that names a
+rate limit gets no more than that; and no daemon outgrows the memory of
+a small host.
 """
 
 import asyncio
@@ -20,7 +21,7 @@
 from typing import Any, NamedTuple
 
 from soak.caller import Attempt, call
-from soak.fleet import SoakDaemon, free_address
+from soak.fleet import SMALL_HOST_BYTES, SoakDaemon, free_address
 from soak.proxy import Fault, FaultyLink
 from soak.upstreams import (
     SoakUpstream,
@@ -44,6 +45,21 @@
 LIMIT_TOLERANCE = 1.5
 LIMIT_EXTRA_REQUESTS = 5
 CALM_S = 8.0
+# Entries that can be read and not used.
+ODD_ENTRY = {
+    "identifier": "odd",
+    "service": "service",
+    "address": "127.0.0.1:9",
+    "availability_zone": "a",
+    "slots": 8,
+}
+ODD_ENTRIES = [
+    None,
+    ODD_ENTRY | {"address": "127.0.0.1:99999"},
+    ODD_ENTRY | {"address": "127.0.0.1:0"},
+    ODD_ENTRY | {"slots": 2**50},
+    ODD_ENTRY | {"identifier": "odd\r\nx: y"},
+]
 
 
 class SeedResult(NamedTuple):
@@ -81,6 +97,8 @@
         self.attempts: list[Attempt] = []
         self.faults: Counter[str] = Counter()
         self.tasks: set[asyncio.Task[None]] = set()
+        # What another writer put among the upstreams; it stays there.
+        self.odd_entry: dict[str, Any] | None = None
         self.is_over = False
 
     async def run(self, seconds: float) -> SeedResult:
@@ -99,6 +117,7 @@
             await asyncio.gather(*self.tasks)
             result = self._check_attempts(recovered_from)
             result.problems.extend(self._check_limit(recovered_s))
+            result.problems.extend(self._check_memory())
             return result
         finally:
             await self._stop()
@@ -146,6 +165,8 @@
                 )
             ],
         }
+        if self.odd_entry is not None:
+            value["upstreams"].insert(0, self.odd_entry)
         new_file = self.directory / "published.new"
         new_file.write_text(json.dumps(value))
         new_file.replace(self.directory / "published.json")
@@ -179,7 +200,17 @@
 
     def _inject_fault(self) -> None:
         name = self.random_source.choice(
-            ["link", "link", "odd", "keys", "drain", "signal", "signal"]
+            [
+                "link",
+                "link",
+                "odd",
+                "endless",
+                "entries",
+                "keys",
+                "drain",
+                "signal",
+                "signal",
+            ]
         )
         if name == "link":
             fault = self.random_source.choice(list(Fault))
@@ -188,6 +219,12 @@
         elif name == "odd":
             share = self.random_source.choice([0.0, 0.2, 0.6])
             self.random_source.choice(self.upstreams).failure_share = share
+        elif name == "endless":
+            share = self.random_source.choice([0.0, 0.1, 0.4])
+            self.random_source.choice(self.upstreams).endless_share = share
+        elif name == "entries":
+            self.odd_entry = self.random_source.choice(ODD_ENTRIES)
+            self._publish()
         elif name == "keys":
             self._change_keys()
         elif name == "drain":
@@ -254,6 +291,7 @@
             link.set_fault(Fault.NONE)
         for upstream in self.upstreams:
             upstream.failure_share = 0.0
+            upstream.endless_share = 0.0
         self.draining.clear()
         self._publish()
         loop = asyncio.get_running_loop()
@@ -307,6 +345,15 @@
             return []
         return [f"{self.limited.name}: got {got} requests, not {allowed:.0f}"]
 
+    def _check_memory(self) -> list[str]:
+        """Return a problem for each daemon with too much memory."""
+        problems: list[str] = []
+        for daemon in self.daemons:
+            peak_bytes = daemon.peak_memory_bytes()
+            if peak_bytes > SMALL_HOST_BYTES:
+                problems.append(f"{daemon.peer_address}: {peak_bytes} bytes")
+        return problems
+
     def check_attempt(self, attempt: Attempt, runs: int) -> list[str]:
         """Return the problems of an attempt with that many runs."""
         problems: list[str] = []
--- a/soak/upstreams.py
+++ b/soak/upstreams.py
@@ -11,6 +11,8 @@
 EVENT_COUNT = 12
 MAX_EVENT_PAUSE_S = 0.03
 MAX_WORK_S = 0.03
+ENDLESS_PART_BYTES = 16_384
+ENDLESS_CHUNKS = 2_000
 
 
 class UpstreamRun(NamedTuple):
@@ -26,9 +28,11 @@
     """Serves requests and streams, and fails a share of them.
 
     A failing request is refused, aborted after its run, or, for a
-    stream, cut in the middle of an event.  `limit_per_s`, if set, is
-    the rate limit that it names in its answers.  `arrivals_s` are the
-    times at which requests came, on the clock of the event loop.
+    stream, cut in the middle of an event.  `endless_share` of the
+    requests are answered by bytes without an end.  `limit_per_s`, if
+    set, is the rate limit that it names in its answers.  `arrivals_s`
+    are the times at which requests came, on the clock of the event
+    loop.
     """
 
     def __init__(self, name: str, random_source: random.Random) -> None:
@@ -38,6 +42,7 @@
         self.server: asyncio.Server | None = None
         self.address = ""
         self.failure_share = 0.0
+        self.endless_share = 0.0
         self.limit_per_s: float | None = None
         self.arrivals_s: list[float] = []
 
@@ -93,6 +98,9 @@
         if draw < 2 * self.failure_share / 3:
             writer.transport.abort()
             return
+        if self.random_source.random() < self.endless_share:
+            await self._send_endlessly(request, writer)
+            return
         if path.startswith("/stream/"):
             await self._stream(
                 request, writer, is_cut=draw < self.failure_share
@@ -121,6 +129,27 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    async def _send_endlessly(
+        self, request: str, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send a head, or a part of one, and bytes until closed."""
+        head = self._head(request, "x: y")
+        framing = self._head(request, "transfer-encoding: chunked")
+        start, part, pause_s = self.random_source.choice(
+            [
+                (b"", b"x" * ENDLESS_PART_BYTES, 0.0),
+                (head, b"x" * ENDLESS_PART_BYTES, 0.0),
+                (head, b"\n" * ENDLESS_PART_BYTES, 0.0),
+                (head.replace(b"200 OK", b"500 Broken"), b"x", 0.1),
+                (framing, b"1\r\n\n\r\n" * ENDLESS_CHUNKS, 0.0),
+            ]
+        )
+        writer.write(start)
+        while True:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+
     def _head(self, request: str, framing: str) -> bytes:
         signature = DIALECT.signature.decode()
         name = DIALECT.request_id.decode()
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -13,7 +13,11 @@
 
 from plantainsail.entry.program import main
 from plantainsail.entry.settings import EntrySettings
-from soak.fleet import free_address
+from soak.fleet import (
+    SMALL_HOST_BYTES,
+    free_address,
+    peak_memory_bytes,
+)
 from tests.standins.process import as_json
 from tests.standins.routed import (
     ROUTES,
@@ -24,8 +28,6 @@
     respond_with,
 )
 
-# The memory of the smallest host that serves callers.
-SMALL_HOST_BYTES = 128_000_000
 ENDLESS_CALLS = 60
 
 
@@ -104,15 +106,6 @@
         writer.close()
         return int(data.split(b" ")[1]), data
 
-    def peak_memory_bytes(self) -> int:
-        """Return the most memory that the process ever had resident."""
-        assert self.process is not None
-        status = Path(f"/proc/{self.process.pid}/status").read_text()
-        for line in status.splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) * 1024
-        raise ValueError("no peak in the status of the process")
-
     async def log_lines_at_exit(self) -> list[dict[str, object]]:
         """Wait for the process to end and return its log lines."""
         assert self.process is not None
@@ -204,6 +197,7 @@
         *(entry.get(caller_address, "/once/x") for _ in range(ENDLESS_CALLS))
     )
     assert set(statuses) <= {502, 504}
-    assert entry.peak_memory_bytes() < SMALL_HOST_BYTES
+    assert entry.process is not None
+    assert 0 < peak_memory_bytes(entry.process.pid) < SMALL_HOST_BYTES
     entry.upstream.serve = respond_with(answer())
     assert await entry.get(caller_address, "/safe/x") == 200
