--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -139,6 +139,8 @@
             heartbeat.address
         ):
             raise UndecodableError("the sender's address is malformed")
+        if not heartbeat.members:
+            return heartbeat
         members: list[str] = []
         for address in heartbeat.members:
             if address in known or is_usable_address(address):
