--- a/src/plantainsail/entry/gossip.py
+++ b/src/plantainsail/entry/gossip.py
@@ -8,10 +8,18 @@
 import asyncio
 
 import grpc
-import msgspec
 
-from plantainsail.decoding import UndecodableError, decode
+from plantainsail.decoding import UndecodableError
 from plantainsail.entry.announcements import Announcements
+from plantainsail.entry.datagrams import (
+    ENCODER,
+    FORWARD_PREFIX,
+    INTRODUCTION_PREFIX,
+    LIST_CHANGE_PREFIX,
+    decode_heartbeat,
+    decode_introduction,
+    decode_list_change,
+)
 from plantainsail.entry.heartbeats import (
     apply_heartbeat,
     make_heartbeat,
@@ -34,7 +42,6 @@
     LoadEntry,
 )
 from plantainsail.routing.spread import Receivers, choose_receivers
-from plantainsail.routing.validity import is_usable_address, upstream_problem
 from plantainsail.settings import split_address
 
 LOAD_CHANGE_DELAY_S = 0.004
@@ -52,16 +59,6 @@
 # Absorbs timers that fire slightly early or late.
 DUE_SLACK_S = 0.05
 
-ENCODER = msgspec.msgpack.Encoder()
-DECODER = msgspec.msgpack.Decoder(Heartbeat)
-LIST_CHANGE_DECODER = msgspec.msgpack.Decoder(ListChange)
-INTRODUCTION_DECODER = msgspec.msgpack.Decoder(Introduction)
-# A heartbeat is an array, which starts with none of these bytes, so
-# they tell other messages from it.
-LIST_CHANGE_PREFIX = b"\xc1"
-INTRODUCTION_PREFIX = b"\xc0"
-# The rest is a message to forward to the receiver's availability zone.
-FORWARD_PREFIX = b"\xc2"
 # Peers that lag fetch larger changes over gRPC.
 MAX_LIST_CHANGE_BYTES = 1_300
 # Spreads the fetches of daemons that fall behind at the same time.
@@ -107,14 +104,14 @@
             self._send_to_zone(data)
         try:
             if data.startswith(LIST_CHANGE_PREFIX):
-                self._apply_list_change(decode(LIST_CHANGE_DECODER, data[1:]))
+                self._apply_list_change(decode_list_change(data[1:]))
                 return
             if data.startswith(INTRODUCTION_PREFIX):
-                self._introduce(decode(INTRODUCTION_DECODER, data[1:]))
+                self._introduce(decode_introduction(data[1:]))
                 return
             if self.announcements.apply(data):
                 return
-            heartbeat = self._checked(decode(DECODER, data))
+            heartbeat = decode_heartbeat(data, self.node.members.members)
         except UndecodableError as error:
             self.node.log.warning("message unreadable", reason=str(error))
             return
@@ -129,24 +126,6 @@
         apply_heartbeat(self.node, heartbeat, now_s)
         self._fetch_if_behind(member, now_s)
 
-    def _checked(self, heartbeat: Heartbeat) -> Heartbeat:
-        """Return a heartbeat without members that can't be sent to.
-
-        Raises `UndecodableError` if its sender can't be.
-        """
-        known = self.node.members.members
-        if heartbeat.address not in known and not is_usable_address(
-            heartbeat.address
-        ):
-            raise UndecodableError("the sender's address is malformed")
-        if not heartbeat.members:
-            return heartbeat
-        members: list[str] = []
-        for address in heartbeat.members:
-            if address in known or is_usable_address(address):
-                members.append(address)
-        return heartbeat._replace(members=tuple(members))
-
     def error_received(self, error: Exception) -> None:
         """Log that a message could not be sent."""
         self.node.log.debug("message not sent", reason=str(error))
@@ -171,11 +150,6 @@
         self._spread(data, self.node.members.live(now_s))
 
     def _apply_list_change(self, change: ListChange) -> None:
-        for upstream in change.written:
-            problem = upstream_problem(upstream)
-            if problem is not None:
-                self.node.log.warning("message unreadable", reason=problem)
-                return
         registry = self.node.registry
         # The message has all changes after revision `after`, some of
         # which may be applied already.
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -10,8 +10,12 @@
 import pytest
 
 from plantainsail.entry.daemon import EntryDaemon
+from plantainsail.entry.datagrams import (
+    ENCODER,
+    HEARTBEAT_DECODER,
+    LIST_CHANGE_PREFIX,
+)
 from plantainsail.entry.engine_watch import EngineWatch
-from plantainsail.entry.gossip import DECODER, ENCODER, LIST_CHANGE_PREFIX
 from plantainsail.entry.heartbeats import make_heartbeat
 from plantainsail.entry.mover import CopyResult, DepartureStatus
 from plantainsail.routing.fleet_loads import UpstreamLoad
@@ -163,7 +167,7 @@
     gossip._send(member, heartbeat)
     gossip.transport = transport
     assert messages
-    heartbeat = DECODER.decode(messages[0])._replace(
+    heartbeat = HEARTBEAT_DECODER.decode(messages[0])._replace(
         echo_nonce=node.nonce + 1,
         echo_ms=int(node.now_s() * 1000) + 60_000,
         configuration_age_ms=0,
--- a/tests/test_gossip_spread.py
+++ b/tests/test_gossip_spread.py
@@ -10,7 +10,7 @@
 import pytest
 
 from plantainsail.entry.daemon import EntryDaemon
-from plantainsail.entry.gossip import (
+from plantainsail.entry.datagrams import (
     ENCODER,
     FORWARD_PREFIX,
     INTRODUCTION_PREFIX,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,7 +19,7 @@
 
 from plantainsail.decoding import UndecodableError, decode, decode_json
 from plantainsail.entry.daemon import EntryDaemon
-from plantainsail.entry.gossip import (
+from plantainsail.entry.datagrams import (
     LIST_CHANGE_DECODER,
 )
 from plantainsail.entry.snapshot import (
--- a/tests/test_odd_messages.py
+++ b/tests/test_odd_messages.py
@@ -18,10 +18,11 @@
 from plantainsail.decoding import UndecodableError, decode
 from plantainsail.entry.announcements import LIMITS_DECODER, SUSPECTS_DECODER
 from plantainsail.entry.daemon import EntryDaemon
-from plantainsail.entry.gossip import (
-    DECODER,
+from plantainsail.entry.datagrams import (
+    HEARTBEAT_DECODER,
     INTRODUCTION_DECODER,
     LIST_CHANGE_DECODER,
+    LIST_CHANGE_PREFIX,
 )
 from plantainsail.entry.heartbeats import make_whole_heartbeat
 from plantainsail.entry.snapshot import (
@@ -29,7 +30,8 @@
     decode_snapshot,
 )
 from plantainsail.routing.fleet_loads import UpstreamLoad
-from plantainsail.routing.messages import LoadEntry
+from plantainsail.routing.messages import ListChange, LoadEntry
+from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.pace import Pace
 from tests.standins.routed import (
     StandInSource,
@@ -108,10 +110,23 @@
     assert not daemon.node.paces.peer_paces
 
 
+async def test_change_with_an_entry_that_cannot_be_used_is_refused(
+    daemon: EntryDaemon,
+) -> None:
+    odd = RoutedUpstream("i-1", "office", "127.0.0.1:0", "a", 4)
+    change = ListChange("127.0.0.1:9", 0, 2, (odd,), ())
+    before = daemon.node.registry.revision
+    daemon.gossip.datagram_received(
+        LIST_CHANGE_PREFIX + msgspec.msgpack.encode(change), ("127.0.0.1", 9)
+    )
+    assert daemon.node.registry.revision == before
+    assert not daemon.node.registry.entries
+
+
 @pytest.mark.parametrize(
     "decoder",
     [
-        DECODER,
+        HEARTBEAT_DECODER,
         LIST_CHANGE_DECODER,
         INTRODUCTION_DECODER,
         SUSPECTS_DECODER,
