--- a/tests/test_prompt_part_quarantine.py
+++ b/tests/test_prompt_part_quarantine.py
@@ -21,6 +21,8 @@
 
 # From the fifth crash on, no further request may reach an engine.
 MAX_CRASHES = 5
+TURNS = 12
+SOUND_REQUESTS = 10
 WHOLE = b"".join(event(number) for number in range(EVENTS))
 
 
@@ -80,6 +82,22 @@
     assert fleet.crashes <= MAX_CRASHES
 
 
+async def test_few_crashing_requests_among_sound_ones_at_once_are_refused(
+    fleet: CrashingFleet,
+) -> None:
+    """Sound ones with the same first part run as engines crash."""
+    for turn in range(TURNS):
+        sound = [
+            fleet.stream(f"system topic-{number} own-{turn}", number % 2)
+            for number in range(SOUND_REQUESTS)
+        ]
+        bad = fleet.stream(f"system topic-0 bad own-{turn}", turn % 2)
+        _, *answers = await asyncio.gather(bad, *sound)
+        await fleet.settle()
+    assert 0 < fleet.crashes <= MAX_CRASHES
+    assert [answer.body for answer in answers] == [WHOLE] * SOUND_REQUESTS
+
+
 async def test_a_restarted_daemon_refuses_a_part_quarantined_long_ago(
     fleet: CrashingFleet,
 ) -> None:
