Let the soak's proxy reset connections, and not close them

Found by the soak on its seed 81107: a caller got 200 with bytes of an endless answer. The log shows the answer as complete; the upstream had sent one without a length, and the proxy's reset had cut it.

A regular close ends an answer without a length, as docs/PROMISES.md says.

Change: the proxy resets, by the function that the tests' stand-ins had for it. The seed stays as a case, and a reset link has a test.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -4,6 +4,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from enum import Enum
 
 READ_BYTES = 65_536
@@ -23,6 +25,19 @@
 DELAY_S = 0.15
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Abort a connection with a TCP reset.
+
+    Without the option an abort is a regular close to the other side.
+    """
+    sock = writer.get_extra_info("socket")
+    if not writer.transport.is_closing():
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
+
+
 class FaultyLink:
     """Forwards connections to one address and applies a fault."""
 
@@ -45,14 +60,14 @@
         self.fault = fault
         if fault is Fault.RESET:
             for writer in list(self.writers):
-                writer.transport.abort()
+                reset(writer)
 
     def stop(self) -> None:
         """Stop listening and abort all connections."""
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -65,7 +80,7 @@
             target_streams = await asyncio.open_connection(ip, int(port))
         except OSError:
             self.writers.discard(writer)
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers.add(target_streams[1])
         copies = (
@@ -95,11 +110,11 @@
                 await writer.drain()
             # After a reset, the end of the data must not look regular.
             if self.fault is Fault.RESET:
-                writer.transport.abort()
+                reset(writer)
             elif writer.can_write_eof():
                 writer.write_eof()
         except (OSError, RuntimeError):
-            writer.transport.abort()
+            reset(writer)
 
     async def _delay(self, *, is_request: bool) -> None:
         if self.fault is Fault.DELAYED:
--- a/tests/standins/routed.py
+++ b/tests/standins/routed.py
@@ -1,8 +1,6 @@
 """Stand-ins for the upstreams, source and callers of a daemon."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -30,6 +28,7 @@
     WeightedService,
 )
 from soak.fleet import free_address
+from soak.proxy import reset as reset
 
 DIALECT = Dialect()
 SIGNATURE = b"plantainsail-signature: signed\r\n"
@@ -279,15 +278,6 @@
     return daemon
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Abort a connection with a TCP reset."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    writer.transport.abort()
-
-
 class CallerAnswer(NamedTuple):
     """An answer; `is_whole` says whether its body arrived complete."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,13 +13,16 @@
 
 from soak.caller import Attempt
 from soak.fleet import SoakDaemon
+from soak.proxy import Fault, FaultyLink
 from soak.run import Soak, run_seed
 from soak.upstreams import stream_event, whole_stream
 
 # Each seed that once failed stays here with the cause.
 # 1021: the soak sent SIGTERM to a stopped process, took it as running
 # and never resumed it, so a quarter of the calls hung.
-SEEDS = (1, 1021)
+# 81107: a reset of the proxy was a regular close, so that an answer
+# without a length, cut by it, was whole to the daemon.
+SEEDS = (1, 1021, 81107)
 SECONDS = 5.0
 
 
@@ -46,6 +49,29 @@
     await daemon.end()
 
 
+async def test_reset_link_ends_connections_by_a_tcp_reset() -> None:
+    """A regular close would end an answer without a length."""
+
+    async def send(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b"a part")
+        await reader.read()
+
+    server = await asyncio.start_server(send, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    link = FaultyLink(f"127.0.0.1:{port}")
+    ip, _, link_port = (await link.start()).rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(link_port))
+    assert await reader.readexactly(6) == b"a part"
+    link.set_fault(Fault.RESET)
+    with pytest.raises(ConnectionResetError):
+        await reader.read()
+    writer.close()
+    link.stop()
+    server.close()
+
+
 @pytest.fixture
 def soak(tmp_path: Path) -> Soak:
     return Soak(1, 1, tmp_path)
