Name this daemon's own abort as the reason, not a reset

Cause: CutShortError is an OSError, so the handler of read errors caught the one that names the abort, and the line `generation resumed` said that the upstream had reset the connection. Callers saw no difference.

Change: errors of a read become CutShortError where the read is.

Measured: the new test failed before with 'connection reset'.

--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -213,28 +213,30 @@
                     return event
                 data = await self._read()
                 is_closed = not data
-                if is_closed and self.is_aborted:
-                    # The reader sees this daemon's own abort as the end
-                    # of the connection, which would end a body without
-                    # a length as a complete one.
-                    raise CutShortError(ABORTED_HERE)
                 self.http.receive_data(data)
             except h11.ProtocolError as error:
                 problem = CLOSED_EARLY if is_closed else "not HTTP"
                 raise CutShortError(problem) from error
-            except OSError as error:
-                raise CutShortError("connection reset") from error
 
     async def _read(self) -> bytes:
         """Return the next bytes, or none at the end of the connection.
 
-        The reader returns bytes that it holds without waiting, so an
+        Raises `CutShortError` if this daemon or a reset ended it.  The
+        reader returns bytes that it holds without waiting, so an
         upstream that sends fast would keep all other tasks from
         running.
         """
         if self.may_hold_more:
             await asyncio.sleep(0)
-        data = await self.reader.read(READ_BYTES)
+        try:
+            data = await self.reader.read(READ_BYTES)
+        except OSError as error:
+            raise CutShortError("connection reset") from error
+        if not data and self.is_aborted:
+            # The reader sees this daemon's own abort as the end of the
+            # connection, which would end a body without a length as a
+            # complete one.
+            raise CutShortError(ABORTED_HERE)
         self.may_hold_more = len(data) == READ_BYTES
         self.received_bytes += len(data)
         return data
--- a/tests/test_moves_under_faults.py
+++ b/tests/test_moves_under_faults.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from typing import NamedTuple
+from unittest.mock import Mock
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -16,6 +17,12 @@
 from plantainsail.entry.evacuation import Evacuation
 from plantainsail.entry.generation import Generation
 from plantainsail.entry.mover import CopyResult
+from plantainsail.upstreams.single_use import (
+    ABORTED_HERE,
+    CutShortError,
+    OutgoingRequest,
+    SingleUseConnection,
+)
 from tests.standins.moving_engines import (
     EVENTS,
     CallFault,
@@ -26,6 +33,7 @@
     Step,
 )
 from tests.standins.routed import (
+    UNFRAMED_HEAD,
     CallerAnswer,
     StandInCaller,
     StandInSource,
@@ -177,6 +185,20 @@
     check(scenario, asyncio.run(play(scenario)))
 
 
+async def test_own_abort_is_named_as_the_end_of_an_answer() -> None:
+    """The log said that the upstream had reset the connection."""
+    reader = asyncio.StreamReader()
+    writer = Mock(spec=asyncio.StreamWriter)
+    connection = SingleUseConnection(reader, writer)
+    connection.send(OutgoingRequest(b"GET", b"/", [(b"host", b"a")]))
+    reader.feed_data(UNFRAMED_HEAD)
+    await connection.read_head()
+    connection.abort()
+    reader.feed_eof()
+    with pytest.raises(CutShortError, match=ABORTED_HERE):
+        await connection.read_piece()
+
+
 @pytest.mark.parametrize("step", Step)
 def test_stream_without_a_length_is_not_whole_if_its_engine_dies(
     step: Step,
