--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -28,6 +28,8 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 START_LIMIT_S = 30.0
 BEAT_S = 1.2
+# The daemons are in touch this long after their start.
+SETTLE_S = 4.0
 READ_BYTES = 65_536
 
 
@@ -504,6 +506,8 @@
                 for daemon in self.daemons
             )
         )
+        await asyncio.sleep(SETTLE_S)
+        self.record.note("the daemons are in touch")
 
     async def end(self) -> None:
         """End all processes that were started."""
