Repeat the order to stop a run until its end is certain

Cause: Evacuation._finish gave the order once and took no answer within 20 or 90 ms for the end of the run.

Change: RunStops gives the order, and repeats it in the background until there is a proof (routing.run_ends): the engine's answer, a refused connection, a new incarnation of the engine, or the request's deadline. The stream does not wait longer than before. The log says `run may go on` and `run ended`. A planned stop waits up to a second for orders, and an order is withdrawn before the same request is sent to that engine again. An answer that comes too late names a copy that nobody uses; it is freed.

Tests: test_run_stops.

--- a/src/plantainsail/entry/daemon.py
+++ b/src/plantainsail/entry/daemon.py
@@ -53,6 +53,9 @@
 FIRST_REQUEST_WAIT_S = 1.0
 ACCEPT_ROUNDS = 3
 DRAIN_POLL_S = 0.05
+# Orders to stop runs that have no answer by then are given up: their
+# engines can't be reached.
+STOP_ORDERS_WAIT_S = 1.0
 SETTINGS_POLL_S = 2.0
 
 
@@ -307,8 +310,11 @@
             self.callers.close_idle()
             is_new_awaited = node.now_s() < new_until_s
             if not self.callers.has_requests(counts_new=is_new_awaited):
-                return
+                break
             await asyncio.sleep(DRAIN_POLL_S)
+        if self.stream.stops is not None:
+            left_s = max(0.0, end_s - node.now_s())
+            await self.stream.stops.wait(min(left_s, STOP_ORDERS_WAIT_S))
 
     async def _accept_pending_connections(self, end_s: float) -> None:
         """Wait until the listener has accepted all connections.
@@ -329,6 +335,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.stream.stops is not None:
+            await self.stream.stops.cancel()
         await self.snapshots.stop()
         self.readiness.stop()
         if self.metrics_listener is not None:
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -16,7 +16,6 @@
     DepartingGeneration,
     Evacuation,
 )
-from plantainsail.entry.mover import EngineMover
 from plantainsail.entry.node import EntryNode
 from plantainsail.entry.relay import (
     EventRelay,
@@ -30,6 +29,7 @@
     make_upstream_request,
 )
 from plantainsail.entry.reservation import Reservation
+from plantainsail.entry.run_stops import RunStops
 from plantainsail.entry.send_results import ZONE_DRAINED
 from plantainsail.policy.part_quarantine import SOUND_RUN_S
 from plantainsail.routing.model import RoutedUpstream
@@ -85,14 +85,14 @@
     def __init__(
         self,
         node: EntryNode,
-        mover: EngineMover | None,
+        stops: RunStops | None,
         stream: CallerStream,
         need: GenerationNeed,
         parts: tuple[str, ...] = (),
         guard: SilenceGuard | None = None,
     ) -> None:
         self.node = node
-        self.mover = mover
+        self.stops = stops
         self.stream = stream
         self.request = stream.request
         self.need = need
@@ -196,7 +196,7 @@
                     return
             except CutShortError as error:
                 reason = str(error)
-                continuation = await self._next_leg()
+                continuation = await self._leg_after_break()
                 if continuation is None:
                     raise GenerationLostError(reason) from error
             head = await self._resume_on(continuation, reason)
@@ -207,7 +207,7 @@
         `noticed_s` is when the engine's departure became known.
         """
         is_moving = self.evacuation_task is not None
-        if self.mover is None or is_moving or not self.has_begun:
+        if self.stops is None or is_moving or not self.has_begun:
             return
         traits = self.request.service.traits
         if not traits.can_move:
@@ -221,10 +221,11 @@
             noticed_s,
             self.stream.output_tokens,
             self.stream.output_limit,
+            self.request.deadline_s,
             self.request.zones,
         )
         self.evacuation = Evacuation(
-            self.node, self.mover, departing, self._abort_connection
+            self.node, self.stops, departing, self._abort_connection
         )
         self.evacuation_task = asyncio.create_task(self.evacuation.run())
 
@@ -239,6 +240,9 @@
         extra: Headers,
     ) -> AnswerHead:
         self.asked.add(upstream.identifier)
+        if self.stops is not None:
+            # An order to stop an earlier run would also stop this one.
+            self.stops.withdraw(self.request.identifier, upstream)
         connection.send(
             make_upstream_request(
                 self.request,
@@ -355,9 +359,13 @@
             return None
         if not head.ends_with_connection:
             return None
-        return await self._next_leg()
+        assert self.evacuation_task is not None
+        await asyncio.wait((self.evacuation_task,), timeout=MOVE_TIMEOUT_S)
+        if evacuation.has_run_ended:
+            return None
+        return evacuation.take_continuation()
 
-    async def _next_leg(self) -> Continuation | None:
+    async def _leg_after_break(self) -> Continuation | None:
         evacuation = self.evacuation
         if evacuation is None or self.evacuation_task is None:
             return None
@@ -366,8 +374,7 @@
         else:
             self.evacuation_task.cancel()
             await asyncio.wait((self.evacuation_task,))
-        continuation, evacuation.continuation = evacuation.continuation, None
-        return continuation
+        return evacuation.take_continuation()
 
     async def _resume_on(
         self, continuation: Continuation, reason: str
--- a/src/plantainsail/entry/metrics.py
+++ b/src/plantainsail/entry/metrics.py
@@ -111,6 +111,12 @@
             ["result"],
             registry=self.registry,
         )
+        self.stop_orders = Counter(
+            "plantainsail_entry_stop_orders",
+            "Runs ordered to stop, by the proof of their end.",
+            ["proof"],
+            registry=self.registry,
+        )
         self.latency = Histogram(
             "plantainsail_entry_latency_seconds",
             "Time from a request's arrival to the first of its answer.",
--- a/src/plantainsail/entry/mover.py
+++ b/src/plantainsail/entry/mover.py
@@ -10,10 +10,16 @@
     """Result of a copy.
 
     `handle` names the copy at its engine; it is empty without a copy.
+    `has_process_ended` says that the source's host refused the
+    connection, so that no process runs there any more.
     """
 
     status: int
     handle: str = ""
+    has_process_ended: bool = False
+
+
+NO_ANSWER = CopyResult(0)
 
 
 class DepartureStatus(NamedTuple):
@@ -36,9 +42,13 @@
 
         Status 200 means copied, 404 that there is no such run, 503
         that the target has no room or can't be reached, 0 that no
-        answer came.
+        answer came.  If the run was stopped, an answer with status 503
+        names the memory that the source keeps.
         """
 
+    async def free_copy(self, source: str, handle: str) -> None:
+        """Free a copy that nobody will use, at both engines."""
+
     async def departure_status(self, upstream: str) -> DepartureStatus | None:
         """Ask an engine if it leaves; return None without an answer."""
 
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -18,6 +18,7 @@
 from plantainsail.entry.relay import GenerationLostError
 from plantainsail.entry.request import RoutedRequest
 from plantainsail.entry.resuming import Resumer
+from plantainsail.entry.run_stops import RunStops
 from plantainsail.entry.send_results import (
     FIRST_SERVER_ERROR_STATUS,
     ZONE_DRAINED,
@@ -64,13 +65,14 @@
         death_checks: DeathChecks,
     ) -> None:
         self.node = node
-        self.mover = mover
+        self.stops: RunStops | None = None
         self.death_checks = death_checks
         self.queue = WaitingQueue(node)
         self.generations: set[Generation] = set()
         self.engine_watch: EngineWatch | None = None
         if mover is not None:
             self.engine_watch = EngineWatch(node, mover)
+            self.stops = RunStops(node, mover)
         self.background_tasks: set[asyncio.Task[None]] = set()
 
     async def follow_departures(self) -> None:
@@ -139,7 +141,7 @@
         resumer = self._resumer(work)
         generation = Generation(
             self.node,
-            self.mover,
+            self.stops,
             work.stream,
             work.need,
             work.parts,
--- a/src/plantainsail/platform/calls.py
+++ b/src/plantainsail/platform/calls.py
@@ -24,6 +24,12 @@
 class CallError(Exception):
     """The call failed before a complete answer arrived."""
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether the host refused, as no process listens."""
+        cause = self.__cause__
+        return isinstance(cause, ConnectError) and cause.is_refused
+
 
 class CallAnswer(NamedTuple):
     """Status, decoded body and headers, whose names are in lower case.
--- a/src/plantainsail/platform/mover.py
+++ b/src/plantainsail/platform/mover.py
@@ -1,12 +1,15 @@
 """Copies running requests between the platform's engines."""
 
-from plantainsail.entry.mover import CopyResult, DepartureStatus
+from urllib.parse import quote
+
+from plantainsail.entry.mover import NO_ANSWER, CopyResult, DepartureStatus
 from plantainsail.logs import get_logger
 from plantainsail.platform.calls import CallError, call
 from plantainsail.routing.validity import is_name
 
 COPY_TIMEOUT_S = 2.5
 REPORT_TIMEOUT_S = 0.4
+FREE_TIMEOUT_S = 0.4
 # A report lists up to some hundred runs.
 MAX_ENGINE_ANSWER_BYTES = 131_072
 MAX_NOTICE_MS = 1e9
@@ -41,7 +44,7 @@
             )
         except CallError as error:
             self.log.info("copy failed", request=request, reason=str(error))
-            return CopyResult(0)
+            return CopyResult(0, has_process_ended=error.is_refused)
         handle = ""
         if isinstance(answer.body, dict):
             handle = answer.body.get("KvHandle") or ""
@@ -50,9 +53,23 @@
             self.log.info(
                 "copy failed", request=request, reason="malformed handle"
             )
-            return CopyResult(0)
+            return NO_ANSWER
         return CopyResult(answer.status, handle)
 
+    async def free_copy(self, source: str, handle: str) -> None:
+        """Free a copy; see `EngineMover`."""
+        try:
+            await call(
+                source,
+                b"DELETE",
+                f"/plantainsail/kv-handle/{quote(handle, safe='')}",
+                FREE_TIMEOUT_S,
+                limit_bytes=MAX_ENGINE_ANSWER_BYTES,
+            )
+        except CallError as error:
+            # The engine frees the copy by itself later.
+            self.log.info("copy not freed", handle=handle, reason=str(error))
+
     async def departure_status(self, upstream: str) -> DepartureStatus | None:
         """Read an engine's report, which is several hundred ms old."""
         try:
--- a/tests/test_entry_fleet.py
+++ b/tests/test_entry_fleet.py
@@ -256,6 +256,9 @@
         """Copy nothing."""
         return CopyResult(404)
 
+    async def free_copy(self, source: str, handle: str) -> None:
+        """Free nothing, as no copy holds memory."""
+
     async def departure_status(self, upstream: str) -> DepartureStatus | None:
         """Count the call and report that the engine leaves."""
         self.ask_count += 1
