Stop a run whose stream breaks off between its two copies

It went on elsewhere within 5 ms, and the engine before worked on for 2 s.

Cause: Generation._next_leg cancelled the move and took its continuation, so the order that stops the run was never given: the end of the connection was taken for the end of the run. Ruled out: an order that was lost (no order in the engine's record), and one for another run.

The order goes on until the run has certainly ended (RunStops). A move also keeps its first copy while it connects to the target, and after an engine that does not know the run.

Tests: test_run_stops.

--- a/src/plantainsail/entry/evacuation.py
+++ b/src/plantainsail/entry/evacuation.py
@@ -116,6 +116,7 @@
         self.refused = RefusedTargets()
         self.is_stopping = False
         self.has_run_ended = False
+        self.broken = asyncio.Event()
         self.result = "not begun"
 
     async def run(self) -> None:
@@ -126,6 +127,16 @@
             self.node.metrics.moves.labels(self.result).inc()
             self._log()
 
+    def note_break(self) -> bool:
+        """Record that the stream of the source broke off.
+
+        Returns whether the generation can continue from a copy.  Its
+        run may go on at the source, which is then ordered to stop it
+        at once, before it continues.
+        """
+        self.broken.set()
+        return self.continuation is not None
+
     def take_continuation(self) -> Continuation | None:
         """Return the continuation, which can be used once."""
         continuation, self.continuation = self.continuation, None
@@ -161,6 +172,8 @@
                 if await self._finish(target, copied):
                     return
                 self._give_up_target()
+                if self.broken.is_set():
+                    return
                 continue
             self.release()
             self.result = f"first copy {copied.status}"
@@ -263,6 +276,9 @@
         """
         # If the stream is cut from now on, the generation continues
         # from this copy.
+        self.continuation = self._make_continuation(
+            target, copied.handle, None
+        )
         connection = await self._connect(target)
         self.continuation = self._make_continuation(
             target, copied.handle, connection
@@ -302,15 +318,24 @@
     async def _wait_until_movable(
         self, target: RoutedUpstream
     ) -> EvacuationStep:
-        """Wait for the next step, or until the target is drained."""
+        """Wait for the next step, or until the target is drained.
+
+        A stream that broke off is cut over at once.
+        """
         source = self.departing.source.identifier
         while True:
+            if self.broken.is_set():
+                return CUT_OVER
             now_s = self.node.now_s()
             load = self.node.fleet_loads.load_of(source, now_s)
             step = next_step(load.first_copies, self.gone_s, now_s)
             if step is not WAIT or self.node.registry.is_drained(target):
                 return step
-            await asyncio.sleep(STEP_POLL_S)
+            try:
+                async with asyncio.timeout(STEP_POLL_S):
+                    await self.broken.wait()
+            except TimeoutError:
+                continue
 
     async def _final_copy(
         self, target: RoutedUpstream, first_handle: str, timeout_s: float
--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -366,10 +366,16 @@
         return evacuation.take_continuation()
 
     async def _leg_after_break(self) -> Continuation | None:
+        """Return where a stream goes on that broke off.
+
+        If there is a copy of its run, its engine is ordered to stop the
+        run first: the end of the connection does not show that the run
+        has ended.
+        """
         evacuation = self.evacuation
         if evacuation is None or self.evacuation_task is None:
             return None
-        if evacuation.is_stopping:
+        if evacuation.note_break():
             await asyncio.wait((self.evacuation_task,), timeout=MOVE_TIMEOUT_S)
         else:
             self.evacuation_task.cancel()
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -329,7 +329,8 @@
     env.drain()
     response = await stream
     assert (response.body, response.is_whole) == (WHOLE, True)
-    assert env.engines.mover.calls == [False]
+    # The run may go on at its engine, which must be told to stop it.
+    assert env.engines.mover.calls == [False, True]
 
 
 async def test_cut_over_stops_the_run_at_its_source(
--- a/tests/test_run_stops.py
+++ b/tests/test_run_stops.py
@@ -10,6 +10,8 @@
 from typing import NamedTuple
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from plantainsail.entry import daemon as daemons
 from plantainsail.entry.daemon import EntryDaemon
@@ -28,6 +30,7 @@
     proof_in_list,
 )
 from tests.standins.keeping_engines import (
+    EVENT_S,
     EVENTS,
     BreakAt,
     KeepingEngines,
@@ -55,6 +58,7 @@
 LEAVES_AT = 5
 HANG_S = 20.0
 ATTEMPTS = 4
+EXAMPLES = 12
 ENGINE = RoutedUpstream("e0", "service", "127.0.0.1:9", "a", 8, born_ms=1)
 
 
@@ -199,17 +203,51 @@
         assert answer.is_whole
 
 
+@pytest.mark.parametrize(
+    "at",
+    [
+        BreakAt.NEVER,
+        BreakAt.FIRST_MADE,
+        BreakAt.FINAL_ASKED,
+        BreakAt.FINAL_MADE,
+    ],
+)
+def test_run_whose_connection_breaks_in_a_move_is_stopped(at: BreakAt) -> None:
+    """The move was given up with the order to stop the run unsent."""
+    played = asyncio.run(play(Plan((at, BreakAt.NEVER, BreakAt.NEVER))))
+    check_whole(played)
+    assert [len(works) for works in played.works] == [2, 2, 2]
+    assert played.pauses_s[0] <= PAUSE_S
+
+
+def test_run_is_ordered_to_stop_before_it_continues() -> None:
+    """A daemon that is killed in between leaves no run twice."""
+    plan = Plan((BreakAt.FIRST_MADE, BreakAt.NEVER, BreakAt.NEVER))
+    happened = asyncio.run(play(plan)).engines.happened
+    mine = [one for one in happened if one.startswith("r0 ")]
+    assert mine == ["r0 runs", "r0 is to stop", "r0 runs"]
+
+
+@pytest.mark.parametrize("at", [BreakAt.NEVER, BreakAt.FIRST_MADE])
 @pytest.mark.parametrize("fault", OrderFault)
 def test_order_to_stop_is_repeated_until_the_end_is_certain(
-    fault: OrderFault,
+    fault: OrderFault, at: BreakAt
 ) -> None:
     """The order was given once, and no answer was taken for the end."""
-    plan = Plan((BreakAt.NEVER, BreakAt.NEVER), orders=(fault, fault))
+    plan = Plan((at, BreakAt.NEVER), orders=(fault, fault))
     played = asyncio.run(play(plan))
     check_whole(played)
     assert played.pauses_s[0] <= PAUSE_S
 
 
+def test_run_at_an_engine_that_is_reachable_again_is_stopped() -> None:
+    """The order was given up while the engine could not be reached."""
+    plan = Plan((BreakAt.FIRST_MADE,), unreachable_s=0.4)
+    played = asyncio.run(play(plan))
+    check_whole(played)
+    assert len(played.works[0]) == 2
+
+
 def test_stream_that_goes_nowhere_else_is_not_stopped() -> None:
     """Its caller sees it break off, and no other engine gets it."""
     played = asyncio.run(play(Plan((BreakAt.BEFORE,))))
@@ -225,13 +263,13 @@
     """SIGTERM came between the break and the order's answer."""
     monkeypatch.setattr(daemons, "BALANCER_DELAY_S", 0.1)
     faults = (OrderFault.RESET, OrderFault.LOST)
-    plan = Plan((BreakAt.NEVER, BreakAt.NEVER), orders=faults)
+    plan = Plan((BreakAt.FIRST_MADE, BreakAt.NEVER), orders=faults)
 
     async def leave_during_move() -> Played:
         stage = Stage(plan, is_resumable=False)
         daemon = await stage.start()
         stage.leave()
-        await until(lambda: bool(stage.engines.orders["r0"]))
+        await until(lambda: not stage.engines.broken_by_request.get("r0"))
         daemon.leave()
         await daemon._wait_for_running_work()
         return await stage.finish()
@@ -239,6 +277,30 @@
     check_whole(asyncio.run(leave_during_move()))
 
 
+PLANS = st.builds(
+    Plan,
+    breaks=st.lists(st.sampled_from(BreakAt), min_size=1, max_size=3).map(
+        tuple
+    ),
+    orders=st.lists(st.sampled_from(OrderFault), max_size=3).map(tuple),
+    unreachable_s=st.sampled_from([0.0, 0.0, 0.3]),
+    is_silent=st.just(False),
+    event_s=st.just(EVENT_S),
+)
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(plan=PLANS)
+def test_no_order_of_breaks_and_lost_orders_leaves_a_run_twice(
+    plan: Plan,
+) -> None:
+    check(asyncio.run(play(plan)))
+
+
 @pytest.mark.parametrize(
     ("answer", "has_begun", "proof"),
     [
