Stop the run that a resumed stream has left

What callers saw: nothing. A stream that is resumed at another upstream (StreamResumption) ran on at the one before if that engine had reset the connection and worked on, or if its connection was silent.

The target of a move whose answer was lost was left in the same way.

Change: a Generation keeps the upstreams that were sent the request and gave no proof of its end (`unended`). When its request goes on elsewhere, each of them is ordered to stop, beside the new placement, so that the caller does not wait for it. The copy that the order makes is freed. An engine that has sent no event may still begin a run that it does not know yet, and is asked again for some seconds.

Tests: test_run_stops, with breaks before and within the copies, each fault of the order, an engine that can't be reached for a while and a silent connection.

--- a/src/plantainsail/entry/generation.py
+++ b/src/plantainsail/entry/generation.py
@@ -35,6 +35,7 @@
 from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.placement import GenerationNeed
 from plantainsail.routing.positions import EventPositions
+from plantainsail.routing.run_ends import OrderedRun
 from plantainsail.routing.urgency import stall_limit_s
 from plantainsail.upstreams.probe import has_process_ended
 from plantainsail.upstreams.single_use import (
@@ -78,8 +79,10 @@
 
     `event_count` counts the events of this run that the caller got,
     and `expected_read_s` is the expected time until the first of them.
-    `asked` are the upstreams that were sent the request.  `guard` is
-    None if the stream can't go on at another upstream.
+    `asked` are the upstreams that were sent the request; `unended` are
+    those of them, by identifier, that may still work on it and were not
+    ordered to stop.  `guard` is None if the stream can't go on at
+    another upstream.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         self.is_proven_sound = False
         self.reservation = Reservation(node, need)
         self.asked: set[str] = set()
+        self.unended: dict[str, RoutedUpstream] = {}
         self.connection: SingleUseConnection | None = None
         self.event_count = 0
         self.last_event_s = 0.0
@@ -120,6 +124,26 @@
         """Return the engine that runs it."""
         return self.reservation.upstream
 
+    def unended_runs(self) -> tuple[OrderedRun, ...]:
+        """Return the runs that may go on unless they are stopped."""
+        runs: list[OrderedRun] = []
+        for upstream in self.unended.values():
+            is_current = upstream == self.upstream
+            runs.append(
+                OrderedRun(
+                    self.request.identifier,
+                    upstream,
+                    self.request.deadline_s,
+                    has_begun=is_current and self.has_begun,
+                )
+            )
+        return tuple(runs)
+
+    def note_run_ended(self) -> None:
+        """Record that the engine's run ended or is ordered to stop."""
+        assert self.upstream is not None
+        self.unended.pop(self.upstream.identifier, None)
+
     @property
     def positions(self) -> EventPositions:
         """Return the positions of the caller's stream."""
@@ -172,6 +196,7 @@
         extra = self._position_headers()
         head = await self._send(self.connection, self.upstream, extra)
         if is_not_executed(head, self.request, self.node.dialect):
+            self.note_run_ended()
             raise NotRunError("refused")
         if not is_valid_answer_head(head, self.request, self.node.dialect):
             raise GenerationLostError("not its answer")
@@ -240,6 +265,7 @@
         extra: Headers,
     ) -> AnswerHead:
         self.asked.add(upstream.identifier)
+        self.unended[upstream.identifier] = upstream
         if self.stops is not None:
             # An order to stop an earlier run would also stop this one.
             self.stops.withdraw(self.request.identifier, upstream)
@@ -391,6 +417,8 @@
         """
         self.stream.move_count += 1
         self.stream.may_have_run += 1
+        # The move has ordered the engine before to stop.
+        self.note_run_ended()
         resumed = await self._open_with_fallback(continuation)
         head = resumed.head
         if head.status != HTTP_OK:
@@ -422,6 +450,8 @@
         try:
             head = await self._open_leg(continuation, continuation.upstream)
             is_refused = is_not_executed(head, self.request, self.node.dialect)
+            if is_refused:
+                self.unended.pop(continuation.upstream.identifier, None)
             if not is_refused or continuation.source is None:
                 return ResumedStream(continuation.upstream, head)
         except ZoneDrainedError:
--- a/src/plantainsail/entry/resuming.py
+++ b/src/plantainsail/entry/resuming.py
@@ -7,10 +7,12 @@
 
 from plantainsail.entry.generation import Generation
 from plantainsail.entry.node import EntryNode
+from plantainsail.entry.run_stops import RunStops
 from plantainsail.entry.send_results import CUT_SHORT
 from plantainsail.entry.stream_log import log_interruption
 from plantainsail.entry.streamed_request import RunResult, StreamedRequest
 from plantainsail.entry.views import view_service
+from plantainsail.routing.model import RoutedUpstream
 from plantainsail.routing.placement import (
     EngineView,
     GenerationNeed,
@@ -27,6 +29,7 @@
     resumed_need,
     silence_limit_s,
 )
+from plantainsail.routing.run_ends import OrderedRun
 from plantainsail.routing.urgency import READ_MARGIN
 
 # How often a silent upstream is judged again that can't be left yet.
@@ -38,9 +41,12 @@
 class Resumer:
     """Decides for one request whether it goes on elsewhere."""
 
-    def __init__(self, node: EntryNode, work: StreamedRequest) -> None:
+    def __init__(
+        self, node: EntryNode, work: StreamedRequest, stops: RunStops | None
+    ) -> None:
         self.node = node
         self.work = work
+        self.stops = stops
 
     async def is_resumed(self, result: RunResult) -> bool:
         """Return whether the request goes to another upstream now."""
@@ -55,9 +61,32 @@
         if refused is not None:
             self.count_refusal(refused)
             return False
+        for run in result.unended:
+            self._order_stop(run)
         self.work.is_resuming = True
         return True
 
+    def _order_stop(self, run: OrderedRun) -> None:
+        """Order an engine to stop a run that goes on elsewhere.
+
+        Its connection is closed, but not every engine drops a run with
+        that.  Engines can be ordered only where runs can be moved.
+        """
+        request = self.work.request
+        service = request.service
+        if self.stops is None or not service.traits.can_move:
+            return
+        source = run.upstream
+        target: RoutedUpstream | None = None
+        for upstream in self.node.upstreams_in(service.name, request.zones):
+            if upstream.identifier == source.identifier:
+                continue
+            target = upstream
+            if upstream.availability_zone == source.availability_zone:
+                break
+        if target is not None:
+            self.stops.start(run, target)
+
     def count_run(self, generation: Generation, result: RunResult) -> None:
         """Count whether a resumed run brought its stream forward."""
         if not self.work.is_resuming:
--- a/src/plantainsail/entry/streamed_request.py
+++ b/src/plantainsail/entry/streamed_request.py
@@ -12,6 +12,7 @@
     GenerationNeed,
     max_request_tokens,
 )
+from plantainsail.routing.run_ends import OrderedRun
 from plantainsail.routing.urgency import Claim, make_claim
 from plantainsail.upstreams.single_use import AnswerHead
 
@@ -35,7 +36,7 @@
     `is_not_run` that the upstream surely didn't run the request.
     `reason` says why it is not answered, and `error` is the answer if
     that is an error of the upstream.  `death_check` finds out whether
-    the upstream died.
+    the upstream died.  `unended` are the runs that may still go on.
     """
 
     reason: str
@@ -44,6 +45,7 @@
     is_out_of_time: bool = False
     error: ErrorAnswer | None = None
     death_check: "asyncio.Task[None] | None" = None
+    unended: tuple[OrderedRun, ...] = ()
 
 
 class StreamedRequest:
--- a/src/plantainsail/entry/streaming.py
+++ b/src/plantainsail/entry/streaming.py
@@ -177,6 +177,7 @@
             return result
         if resumer is not None:
             resumer.count_run(generation, result)
+            result = result._replace(unended=generation.unended_runs())
         work.last = result
         work.upstream = generation.upstream
         work.tried |= generation.asked
@@ -253,7 +254,7 @@
     def _resumer(self, work: StreamedRequest) -> Resumer | None:
         if not work.request.route.is_resumable:
             return None
-        return Resumer(self.node, work)
+        return Resumer(self.node, work, self.stops)
 
     async def _is_sent_again(
         self, work: StreamedRequest, result: RunResult
@@ -282,7 +283,7 @@
         last = work.last
         request = work.request
         if work.is_resuming:
-            Resumer(self.node, work).count_refusal(refused)
+            Resumer(self.node, work, self.stops).count_refusal(refused)
         if last is None:
             await self._refuse(request, failure)
             return
@@ -329,12 +330,14 @@
         request.caller.buffers.release_to(len(request.body))
         try:
             async with asyncio.timeout(ERROR_BODY_TIMEOUT_S):
-                return await generation.connection.read_body(
+                body = await generation.connection.read_body(
                     MAX_ERROR_BYTES, request.caller.buffers
                 )
         except TimeoutError as error:
             reason = f"the body of a status {head.status} did not end"
             raise CutShortError(reason) from error
+        generation.note_run_ended()
+        return body
 
     def _check_engine_death(
         self, generation: Generation
--- a/tests/test_run_stops.py
+++ b/tests/test_run_stops.py
@@ -240,12 +240,48 @@
     assert played.pauses_s[0] <= PAUSE_S
 
 
-def test_run_at_an_engine_that_is_reachable_again_is_stopped() -> None:
+@pytest.mark.parametrize("is_resumable", [False, True])
+def test_run_at_an_engine_that_is_reachable_again_is_stopped(
+    is_resumable: bool,
+) -> None:
     """The order was given up while the engine could not be reached."""
-    plan = Plan((BreakAt.FIRST_MADE,), unreachable_s=0.4)
-    played = asyncio.run(play(plan))
+    at = BreakAt.BEFORE if is_resumable else BreakAt.FIRST_MADE
+    plan = Plan((at,), unreachable_s=0.4)
+    played = asyncio.run(play(plan, is_resumable=is_resumable))
+    check_whole(played)
+    assert len(played.works[0]) == 2
+
+
+@pytest.mark.parametrize(
+    "at", [BreakAt.BEFORE, BreakAt.FIRST_ASKED, BreakAt.FIRST_MADE]
+)
+@pytest.mark.parametrize("fault", OrderFault)
+def test_run_of_a_resumed_stream_is_stopped(
+    fault: OrderFault, at: BreakAt
+) -> None:
+    """Its request ran anew elsewhere and nobody stopped it."""
+    plan = Plan((at,), orders=(fault,))
+    played = asyncio.run(play(plan, is_resumable=True))
     check_whole(played)
     assert len(played.works[0]) == 2
+    happened = played.engines.happened
+    assert happened[:3] == ["r0 runs", "r0 is to stop", "r0 runs"]
+
+
+def test_run_of_a_silent_connection_is_stopped() -> None:
+    """The engine gets no close of a connection that is dead."""
+    plan = Plan((BreakAt.BEFORE,), is_silent=True, event_s=0.05)
+    played = asyncio.run(play(plan, is_resumable=True))
+    check_whole(played)
+    assert len(played.works[0]) == 2
+
+
+def test_copy_that_only_stopped_a_run_is_freed() -> None:
+    """It would occupy memory and a slot at its engine."""
+    played = asyncio.run(play(Plan((BreakAt.BEFORE,)), is_resumable=True))
+    check_whole(played)
+    assert played.engines.orders["r0"] == 1
+    assert played.engines.held == 0
 
 
 def test_stream_that_goes_nowhere_else_is_not_stopped() -> None:
@@ -277,6 +313,27 @@
     check_whole(asyncio.run(leave_during_move()))
 
 
+def test_new_run_at_the_same_engine_is_not_stopped() -> None:
+    """An old order would end it: both runs have the same name."""
+
+    async def return_to_its_engine() -> None:
+        plan = Plan((BreakAt.BEFORE,), unreachable_s=HANG_S)
+        stage = Stage(plan, is_resumable=True)
+        daemon = await stage.start()
+        stage.break_before()
+        stops = daemon.stream.stops
+        assert stops is not None
+        await until(lambda: len(stops.tasks) == 1)
+        stops.withdraw("r0", stage.source.upstreams["e1"])
+        await asyncio.sleep(0)
+        assert len(stops.tasks) == 1
+        stops.withdraw("r0", stage.source.upstreams["e0"])
+        await until(lambda: not stops.tasks)
+        await stage.finish()
+
+    asyncio.run(return_to_its_engine())
+
+
 PLANS = st.builds(
     Plan,
     breaks=st.lists(st.sampled_from(BreakAt), min_size=1, max_size=3).map(
@@ -294,11 +351,11 @@
     deadline=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
-@given(plan=PLANS)
+@given(plan=PLANS, is_resumable=st.booleans())
 def test_no_order_of_breaks_and_lost_orders_leaves_a_run_twice(
-    plan: Plan,
+    plan: Plan, is_resumable: bool
 ) -> None:
-    check(asyncio.run(play(plan)))
+    check(asyncio.run(play(plan, is_resumable=is_resumable)))
 
 
 @pytest.mark.parametrize(
