Repeat the cancel of a generation that runs elsewhere from now on

What callers saw: nothing. In plantainsail.daemon, a generation that was moved or run again at another engine went on at the one before if the one request to cancel it was lost. Engines keep a generation whose connection is closed.

Change: the cancel is repeated, with pauses of 0.1 to 1 s, until the engine says that the generation is over there (ended, unknown, or read by a newer relay), until its process is not listed any more, or until the request's deadline. A daemon that was paused or cut off still sends none.

That a generation that is run again after a failure takes the same way was read, not tested.

--- a/src/plantainsail/runtime/generation_endings.py
+++ b/src/plantainsail/runtime/generation_endings.py
@@ -31,26 +31,61 @@
 )
 
 
+# The pause before a cancel is sent again doubles, up to a limit.
+CANCEL_PAUSE_S = 0.1
+MAX_CANCEL_PAUSE_S = 1.0
+
+
 async def cancel_at_engine(
     node: Node, engine: HostEntry, relay: Relay
-) -> None:
+) -> bool:
     """Send an engine one request to cancel a generation.
 
     A daemon that was paused or cut off sends none, since another daemon
-    may have taken over the generation.
+    may have taken over the generation.  Returns whether nothing is left
+    to cancel for this daemon.
     """
     if node.find_act_failure() is not None:
-        return
+        return True
     node.metrics.streams.labels("cancelled").inc()
-    await node.engines.cancel(
+    return await node.engines.cancel(
         engine, relay.expected.generation, relay.expected.attempt
     )
 
 
-def schedule_cancel(node: Node, engine: HostEntry, relay: Relay) -> None:
+async def cancel_until_confirmed(
+    node: Node, engine: HostEntry, relay: Relay, deadline_s: float
+) -> None:
+    """Cancel a generation that runs elsewhere from now on.
+
+    A request to cancel that got no answer may be lost, and engines keep
+    a generation whose connection is closed.  They end it by themselves
+    at `deadline_s`, and with their process.
+    """
+    pause_s = CANCEL_PAUSE_S
+    while not await cancel_at_engine(node, engine, relay):
+        logger.warning(
+            "generation may go on",
+            engine=engine.host,
+            generation=relay.expected.generation,
+        )
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, MAX_CANCEL_PAUSE_S)
+        listed = node.store.hosts.hosts.get(engine.host)
+        if listed is None or listed.incarnation != engine.incarnation:
+            return
+        if node.now_s() >= deadline_s:
+            return
+
+
+def schedule_cancel(
+    node: Node, engine: HostEntry, relay: Relay, deadline_s: float
+) -> None:
     """Cancel a generation in the background without waiting for it."""
     node.hold_task_reference(
-        asyncio.create_task(cancel_at_engine(node, engine, relay))
+        asyncio.create_task(
+            cancel_until_confirmed(node, engine, relay, deadline_s)
+        )
     )
 
 
@@ -106,7 +141,7 @@
         return
     if failure.code in NOT_CANCELLABLE_CODES:
         return
-    schedule_cancel(node, engine, relay)
+    schedule_cancel(node, engine, relay, stream.work.deadline_s)
 
 
 def _note_death(node: Node, failed_generation: FailedGeneration) -> None:
--- a/src/plantainsail/runtime/generations.py
+++ b/src/plantainsail/runtime/generations.py
@@ -207,7 +207,7 @@
         self.stream.restart()
         if engine is None or relay is None:
             return
-        schedule_cancel(self.node, engine, relay)
+        schedule_cancel(self.node, engine, relay, self.work.deadline_s)
 
     def _quarantine_failure(self) -> Failure | None:
         """Return a failure if the request is quarantined.
--- a/src/plantainsail/upstreams/engine.py
+++ b/src/plantainsail/upstreams/engine.py
@@ -40,6 +40,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_DRAINING = 503
+CANCELLED_STATUSES = frozenset({HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT})
 
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 
@@ -166,7 +167,11 @@
     async def cancel(
         self, engine: HostEntry, generation: str, attempt: int = 0
     ) -> bool:
-        """End a generation; return whether the engine confirmed it."""
+        """End a generation; return whether it is certainly over here.
+
+        It is if the engine confirmed it, does not know the generation,
+        or was asked for it by a newer relay.
+        """
         call = UpstreamRequest(
             method="DELETE",
             url=(
@@ -183,7 +188,7 @@
             self.time_limits.connect_s,
             self.time_limits.silence_s,
         )
-        return answer.is_ok() and answer.ok.status == HTTP_OK
+        return answer.is_ok() and answer.ok.status in CANCELLED_STATUSES
 
     async def order(
         self, engine: HostEntry, order: Order, may_write: Callable[[], bool]
--- a/src/plantainsail/upstreams/protocols.py
+++ b/src/plantainsail/upstreams/protocols.py
@@ -100,7 +100,7 @@
     async def cancel(
         self, engine: HostEntry, generation: str, attempt: int = 0
     ) -> bool:
-        """End a generation; return whether the engine confirmed it.
+        """End a generation; return whether it is certainly over here.
 
         An engine that checks fencing refuses an attempt that is older
         than the newest that it has seen.
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -57,6 +57,8 @@
         self.padding = ""
         self.checks_fencing = False
         self.cancels: list[str] = []
+        # So many requests to cancel fail and change nothing.
+        self.lost_cancels = 0
         # Streams stop at this position until the event is set.
         self.hold_position: int | None = None
         self.hold_released = asyncio.Event()
@@ -106,6 +108,9 @@
 
     async def delete_generation(self, request: Request) -> Response:
         """Cancel a generation, unless a newer attempt has read it."""
+        if self.lost_cancels:
+            self.lost_cancels -= 1
+            return Response(status_code=500)
         generation = self.generations.get(request.path_params["generation"])
         if generation is None:
             return Response(status_code=404)
