Take no status that HTTP does not have from an upstream

What callers could see: plantainsail.daemon passed on 600, 999 and 2000 as they came, and took 0200, 200OK, 200.0 and digits of other scripts for 200.

Cause: the client's library reads the leading digits of a status line, and check_head refused only what is under 200.

Change: StrictConnection.readuntil accepts only a status line of HTTP.

--- a/src/plantainsail/upstreams/connections.py
+++ b/src/plantainsail/upstreams/connections.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable
 from contextvars import ContextVar
 from types import TracebackType
@@ -20,6 +21,8 @@
 MAX_HTTP_CHUNK_BYTES = 8_388_608
 LINE_END = b"\r\n"
 BLANK_LINES = (LINE_END, b"\n")
+# The statuses of HTTP have three digits and begin with 1 to 5.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n")
 
 
 class OverlongError(Exception):
@@ -92,6 +95,17 @@
             self.head_bytes = 0
         super().write(data)
 
+    async def readuntil(self) -> bytes:
+        """Return the status line of an answer.
+
+        The library takes the leading digits of any script for a status,
+        however many they are.
+        """
+        line: bytes = await super().readuntil()
+        if not STATUS_LINE.fullmatch(line):
+            raise HttpParsingError("the status line is not that of HTTP")
+        return line
+
     async def readline(self) -> bytes:
         """Return a line of the head or of the chunk framing."""
         line: bytes = await super().readline()
