Refuse a 204 that announces a body

What callers could see: a signed 204, of an upstream that had announced a body, without it. HTTP gives a 204 no body, so the head contradicts itself, and the upstream's whole answer can't be passed on.

Cause: nothing compared an answer's head with its status.

Change: SingleUseConnection.read_head takes such a head for no answer, so that the caller gets another upstream's answer or an unsigned failure. A 204 or 304 without a body is passed on as before.

Tests: answer_without_a_body_that_announces_one_is_no_answer; its three cases fail on the commit before.

--- a/src/plantainsail/upstreams/single_use.py
+++ b/src/plantainsail/upstreams/single_use.py
@@ -28,7 +28,8 @@
 # Bounds the time to parse all heads of one answer.
 MAX_HEADS_BYTES = 131_072
 LAST_STATUS = 599
-BODILESS_STATUSES = frozenset({204, 304})
+NO_CONTENT = 204
+BODILESS_STATUSES = frozenset({NO_CONTENT, 304})
 # TCP keepalive probes detect a peer that vanished without closing.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
@@ -64,6 +65,19 @@
         """Return the first value of a header."""
         return first_value(self.headers, name)
 
+    @property
+    def contradicts_status(self) -> bool:
+        """Return whether the head announces a body that can't follow.
+
+        Of the statuses without a body, only 304 may tell the length of
+        one, that of the answer which the caller has already.
+        """
+        if self.status != NO_CONTENT:
+            return False
+        if self.get(b"transfer-encoding") is not None:
+            return True
+        return self.get(b"content-length") not in (None, b"0")
+
     @property
     def ends_with_connection(self) -> bool:
         """Return whether the body has neither a length nor chunks.
@@ -169,7 +183,10 @@
                 if event.status_code > LAST_STATUS:
                     # No answer to the caller can have such a status.
                     raise CutShortError("unknown status")
-                return AnswerHead(event.status_code, list(event.headers))
+                head = AnswerHead(event.status_code, list(event.headers))
+                if head.contradicts_status:
+                    raise CutShortError("a body where there can be none")
+                return head
             break
         raise CutShortError("no answer")
 
--- a/tests/test_odd_statuses.py
+++ b/tests/test_odd_statuses.py
@@ -157,6 +157,16 @@
     assert (got.status, got.body) == (200, b"good")
 
 
+@pytest.mark.parametrize("target", ["/safe/x", "/once/x", "/stream/x"])
+async def test_answer_without_a_body_that_announces_one_is_no_answer(
+    target: str,
+) -> None:
+    """Its signed head reached the caller without those bytes."""
+    for framing in FRAMINGS[:2]:
+        data = odd_answer(BODILESS[0], framing)
+        check_own_failure(await call_entry(data, target))
+
+
 @pytest.mark.parametrize("status", BODILESS)
 async def test_answer_without_a_body_is_passed_on_without_one(
     status: bytes,
@@ -203,7 +213,7 @@
             engine.server.serve = choose
 
 
-@pytest.mark.parametrize("status", [b"000 Odd", b"2000 OK"])
+@pytest.mark.parametrize("status", [b"000 Odd", b"2000 OK", BODILESS[0]])
 async def test_odd_status_at_the_target_of_a_move_reaches_no_caller(
     status: bytes,
 ) -> None:
