Tests: choose a moved run's answer by a plain closure

The class with default arguments that held the choice was hard to read; the cases and checks are the same.

--- a/tests/test_odd_statuses.py
+++ b/tests/test_odd_statuses.py
@@ -25,7 +25,12 @@
     make_pooled_client,
 )
 from soak.fleet import free_address
-from tests.standins.moving_engines import EVENTS, MovingEngines, Scenario
+from tests.standins.moving_engines import (
+    CONTINUE,
+    EVENTS,
+    MovingEngines,
+    Scenario,
+)
 from tests.standins.platform import Platform, call
 from tests.standins.process import DaemonProcess
 from tests.standins.raw_upstream import RawRequest, RawUpstream, framed
@@ -33,6 +38,7 @@
     SIGNATURE,
     CallerAnswer,
     ReceivedRequest,
+    Serve,
     StandInCaller,
     StandInSource,
     StandInUpstream,
@@ -186,39 +192,29 @@
     odd.stop()
 
 
-class OddTargets(MovingEngines):
-    """Engines that answer a run which was moved with an odd status."""
-
-    def __init__(self, status: bytes) -> None:
-        super().__init__(Scenario())
-        self.status = status
+def answer_continuations(engines: MovingEngines, status: bytes) -> None:
+    """Let engines give each run that was moved to them this status."""
+    odd = Closing(odd_answer(status)).serve
 
-    def answer_continuations(self) -> None:
-        """Answer each request that continues from a copy."""
-        for engine in self.engines:
-            serve = engine.serve
-            odd = Closing(odd_answer(self.status)).serve
+    def choose_by_header(usual: Serve) -> Serve:
+        async def serve(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            is_moved = CONTINUE in request.headers
+            await (odd if is_moved else usual)(request, writer)
 
-            async def choose(
-                request: ReceivedRequest,
-                writer: asyncio.StreamWriter,
-                serve: object = serve,
-                odd: object = odd,
-            ) -> None:
-                is_moved = "plantainsail-continue-from" in request.headers
-                chosen = odd if is_moved else serve
-                assert callable(chosen)
-                await chosen(request, writer)
+        return serve
 
-            engine.server.serve = choose
+    for engine in engines.engines:
+        engine.server.serve = choose_by_header(engine.serve)
 
 
 @pytest.mark.parametrize("status", [b"000 Odd", b"2000 OK", BODILESS[0]])
 async def test_odd_status_at_the_target_of_a_move_reaches_no_caller(
     status: bytes,
 ) -> None:
-    engines = OddTargets(status)
-    engines.answer_continuations()
+    engines = MovingEngines(Scenario())
+    answer_continuations(engines, status)
     source = StandInSource(configuration(), await engines.start())
     daemon = await start_entry(source, engines)
     await until(daemon.node.is_ready)
